--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line of the experiments and the demo.
+ */
+package org.poplarloom.bench;
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
@@ -0,0 +1,120 @@
+package org.poplarloom.core;
+
+import java.util.Locale;
+
+/**
+ * Every error that a caller or operator can meet, with its HTTP status.
+ * <p>
+ * The text form of a code never changes once released. This enum is immutable and
+ * thread-safe.
+ */
+public enum ErrorCode {
+
+	/** An identifier has characters or a length that are not allowed. */
+	INVALID_IDENTIFIER(400),
+	/** A setting, flag or environment variable has an invalid value. */
+	INVALID_SETTING(400),
+	/** A document is not well-formed JSON or lacks a required field. */
+	INVALID_DOCUMENT(400),
+	/** A request body cannot be read as the documented form. */
+	INVALID_REQUEST(400),
+	/** The idempotency key is missing or is not a UUID version 7. */
+	INVALID_IDEMPOTENCY_KEY(400),
+	/** The idempotency key is older than the contract's repeat window. */
+	EXPIRED_IDEMPOTENCY_KEY(409),
+	/** The key belongs to no contract. */
+	UNAUTHORIZED(401),
+	/** The key is valid but does not give access to the resource. */
+	FORBIDDEN(403),
+	/** The named resource does not exist. */
+	NOT_FOUND(404),
+	/** The contract does not include the model or service. */
+	NOT_IN_CONTRACT(403),
+	/** The body is larger than the limit. */
+	BODY_TOO_LARGE(413),
+	/** The prompt is longer than the contract allows. */
+	PROMPT_TOO_LONG(413),
+	/** The body did not arrive in time. */
+	BODY_TIMEOUT(408),
+	/** The subject has changed since the version that the operator expected. */
+	VERSION_CONFLICT(409),
+	/** The team has used up its request or token rate. */
+	RATE_LIMITED(429),
+	/** The team has too many requests or tokens in flight. */
+	CONCURRENCY_LIMITED(429),
+	/** The instance holds as many request bytes as it may. */
+	INSTANCE_BUSY(503),
+	/** No endpoint can start the request before its deadline. */
+	DEADLINE_UNREACHABLE(503),
+	/** The queue of every reachable home is full. */
+	QUEUE_FULL(503),
+	/** No home with a suitable endpoint can be reached. */
+	NO_ENDPOINT(503),
+	/** The availability zone takes no new work. */
+	ZONE_OUT(503),
+	/** The instance does not hold the shard that was asked for. */
+	NOT_HOME(503),
+	/** The deadline passed while the request was waiting or running. */
+	DEADLINE_EXCEEDED(504),
+	/** The endpoint failed while the request was running. */
+	ENDPOINT_FAILED(502),
+	/** The answer has a gap that could not be filled. */
+	ANSWER_INCOMPLETE(502),
+	/** The request has crashed endpoints and is not run again for a time. */
+	QUARANTINED(422),
+	/** An order with this key was started and its outcome is not known. */
+	OUTCOME_UNKNOWN(409),
+	/** Another order with this key is being run. */
+	ORDER_IN_PROGRESS(409),
+	/** The platform's log cannot be reached. */
+	LOG_UNAVAILABLE(503),
+	/** The instance has not yet learnt a configuration. */
+	NOT_READY(503),
+	/** The instance is shutting down. */
+	SHUTTING_DOWN(503),
+	/** A peer sent a frame that cannot be read. */
+	BAD_FRAME(400),
+	/** A peer did not answer in time. */
+	PEER_TIMEOUT(504),
+	/** A book of usage does not match its signature, chain or counterpart. */
+	BOOK_MISMATCH(409),
+	/** A defect in this program. */
+	INTERNAL(500);
+
+	private final int status;
+
+	ErrorCode(int status) {
+		this.status = status;
+	}
+
+	/**
+	 * Returns the HTTP status that goes with the code.
+	 * @return a status from 400 to 599
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns the stable text form, such as {@code rate_limited}.
+	 * @return the text form, never null
+	 */
+	public String text() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Finds the code with the given text form.
+	 * @param text the text form, may be null
+	 * @return the code, or {@link #INTERNAL} if the text is not known
+	 */
+	public static ErrorCode parse(String text) {
+		for (ErrorCode code : values()) {
+			if (code.text().equals(text)) {
+				return code;
+			}
+		}
+		return INTERNAL;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/Findings.java
@@ -0,0 +1,53 @@
+package org.poplarloom.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Collects findings so that they can be reported together.
+ * <p>
+ * Findings are kept in the order in which they were added. This class is not thread-safe.
+ */
+public final class Findings {
+
+	private final List<Finding> entries = new ArrayList<>();
+
+	/**
+	 * Adds a finding.
+	 * @param place the file and line, flag or environment variable
+	 * @param code the error code
+	 * @param message what is wrong, quoting the value
+	 */
+	public void add(String place, ErrorCode code, String message) {
+		this.entries.add(new Finding(place, code, message));
+	}
+
+	/**
+	 * Returns the findings so far.
+	 * @return an immutable copy
+	 */
+	public List<Finding> entries() {
+		return List.copyOf(this.entries);
+	}
+
+	/**
+	 * Says whether nothing was found.
+	 * @return true if there are no findings
+	 */
+	public boolean isEmpty() {
+		return this.entries.isEmpty();
+	}
+
+	/**
+	 * Throws one exception that names every finding.
+	 * @throws PoplarloomException with the code of the first finding, if there is any
+	 */
+	public void throwIfAny() {
+		if (!this.entries.isEmpty()) {
+			String text = this.entries.stream().map(Finding::toString).collect(Collectors.joining("\n"));
+			throw new PoplarloomException(this.entries.get(0).code(), text);
+		}
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/InstanceId.java
@@ -0,0 +1,37 @@
+package org.poplarloom.core;
+
+/**
+ * The name of an entry instance.
+ * <p>
+ * The value is never null and is 1 to 63 lower-case characters. This class is immutable
+ * and thread-safe.
+ *
+ * @param value the text form
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+	public InstanceId {
+		Identifiers.requireValid("instance", value);
+	}
+
+	/**
+	 * Returns the identifier with the given text form.
+	 * @param value the text form, not null
+	 * @return the identifier
+	 * @throws PoplarloomException if the text is not a valid identifier
+	 */
+	public static InstanceId of(String value) {
+		return new InstanceId(value);
+	}
+
+	@Override
+	public int compareTo(InstanceId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/TeamId.java
@@ -0,0 +1,37 @@
+package org.poplarloom.core;
+
+/**
+ * The name of a team, the customer that a contract is made with.
+ * <p>
+ * The value is never null and is 1 to 63 lower-case characters. This class is immutable
+ * and thread-safe.
+ *
+ * @param value the text form
+ */
+public record TeamId(String value) implements Comparable<TeamId> {
+
+	public TeamId {
+		Identifiers.requireValid("team", value);
+	}
+
+	/**
+	 * Returns the identifier with the given text form.
+	 * @param value the text form, not null
+	 * @return the identifier
+	 * @throws PoplarloomException if the text is not a valid identifier
+	 */
+	public static TeamId of(String value) {
+		return new TeamId(value);
+	}
+
+	@Override
+	public int compareTo(TeamId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -0,0 +1,278 @@
+package org.poplarloom.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantRequest;
+
+/**
+ * What a home has granted on one endpoint.
+ * <p>
+ * Reserved memory is the sum of the shares held and the requests on the endpoint never
+ * exceed its ramp. This class is not thread-safe; its home's lock guards it.
+ */
+public final class EndpointLedger {
+
+	private static final int REMEMBERED_PREFIXES = 512;
+
+	private static final double MILLIS_PER_SECOND = 1000.0;
+
+	private static final int SLOW_FIRST_TOKENS_UNTIL_COLD = 3;
+
+	private static final double SLOW_FIRST_TOKEN_RATIO = 4;
+
+	private static final long SLOW_FIRST_TOKEN_MARGIN_MILLIS = 1_000;
+
+	private final Map<String, Hold> holds = new HashMap<>();
+
+	private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final ColdStartRamp ramp;
+
+	private EndpointReport report;
+
+	private long reservedKvTokens;
+
+	private int longPrefills;
+
+	private boolean out;
+
+	private boolean isolated;
+
+	private boolean unconfirmed;
+
+	private int slowFirstTokens;
+
+	EndpointLedger(EndpointReport report, ColdStartRamp ramp) {
+		this.report = report;
+		this.ramp = ramp;
+	}
+
+	/**
+	 * Returns the endpoint.
+	 * @return the endpoint, never null
+	 */
+	public EndpointId endpoint() {
+		return this.report.endpoint();
+	}
+
+	/**
+	 * Returns the endpoint's last report.
+	 * @return the report, never null
+	 */
+	public EndpointReport report() {
+		return this.report;
+	}
+
+	/**
+	 * Returns the number of requests granted and not released.
+	 * @return a number from 0
+	 */
+	public int running() {
+		return this.holds.size();
+	}
+
+	/**
+	 * Returns the memory that is not reserved.
+	 * @return size of the KV cache in tokens, 0 if over-committed
+	 */
+	public long freeKvTokens() {
+		return Math.max(0, this.report.kvTokens() - this.reservedKvTokens);
+	}
+
+	/**
+	 * Says whether a long prompt is being prefilled.
+	 * @return true until its first token
+	 */
+	public boolean hasLongPrefill() {
+		return this.longPrefills > 0;
+	}
+
+	/**
+	 * Says whether the endpoint probably caches the leading block of a prompt.
+	 * @param prefixHash the hash of the block, 0 for none
+	 * @return true if a recent request had the same block
+	 */
+	public boolean hasPrefix(long prefixHash) {
+		return prefixHash != 0 && this.prefixes.containsKey(prefixHash);
+	}
+
+	/**
+	 * Estimates the prefill work that is ahead of a new short prompt.
+	 * @param nowMillis the time in milliseconds
+	 * @return milliseconds
+	 */
+	public double shortPrefillMillis(long nowMillis) {
+		double total = 0;
+		for (Hold hold : this.holds.values()) {
+			if (!hold.request().lengthClass().isLong()) {
+				double needed = prefillMillis(hold.request().promptTokens());
+				total += Math.max(0, needed - (nowMillis - hold.grantedMillis()));
+			}
+		}
+		return total;
+	}
+
+	/**
+	 * Estimates how long the endpoint alone needs to prefill a prompt.
+	 * @param promptTokens the length in tokens
+	 * @return milliseconds
+	 */
+	public double prefillMillis(long promptTokens) {
+		return promptTokens / this.report.prefillTokensPerSecond() * MILLIS_PER_SECOND;
+	}
+
+	/**
+	 * Says whether one more request may be granted, apart from its memory.
+	 * @param request the request
+	 * @param nowMillis the time in milliseconds
+	 * @return true if the endpoint takes it
+	 */
+	public boolean admits(GrantRequest request, long nowMillis) {
+		if (!mayServe(request) || this.unconfirmed || this.isolated) {
+			return false;
+		}
+		if (request.isIsolated()) {
+			return running() == 0;
+		}
+		return running() < this.ramp.limit(this.report.slots(), nowMillis);
+	}
+
+	/**
+	 * Says whether the endpoint is a candidate for the request once it has room.
+	 * @param request the request
+	 * @return true if the endpoint takes new work and has the model
+	 */
+	public boolean mayServe(GrantRequest request) {
+		boolean isTaking = !this.out && !this.report.isLeaving();
+		return isTaking && this.report.models().contains(request.model()) && !request.excluded().contains(endpoint());
+	}
+
+	/**
+	 * Says whether the endpoint bears its full load.
+	 * @param nowMillis the time in milliseconds
+	 * @return true unless it is ramping up
+	 */
+	public boolean isWarm(long nowMillis) {
+		return this.ramp.isWarm(this.report.slots(), nowMillis);
+	}
+
+	void hold(Grant grant, long kvTokens, long nowMillis) {
+		Hold hold = new Hold(grant.request(), kvTokens, nowMillis, grant.request().lengthClass().isLong());
+		Hold previous = this.holds.put(grant.key(), hold);
+		if (previous != null) {
+			forget(previous);
+		}
+		this.reservedKvTokens += kvTokens;
+		this.longPrefills += hold.isPrefillingLong() ? 1 : 0;
+		this.isolated |= grant.request().isIsolated();
+		if (grant.request().prefixHash() != 0) {
+			rememberPrefix(grant.request().prefixHash());
+		}
+	}
+
+	private void rememberPrefix(long prefixHash) {
+		this.prefixes.put(prefixHash, Boolean.TRUE);
+		if (this.prefixes.size() > REMEMBERED_PREFIXES) {
+			this.prefixes.remove(this.prefixes.keySet().iterator().next());
+		}
+	}
+
+	void firstToken(String key, long nowMillis) {
+		Hold hold = this.holds.get(key);
+		if (hold == null) {
+			return;
+		}
+		if (hold.isPrefillingLong()) {
+			this.holds.put(key, hold.withPrefillDone());
+			this.longPrefills--;
+		}
+		else {
+			observeFirstToken(hold, nowMillis);
+		}
+	}
+
+	private void observeFirstToken(Hold hold, long nowMillis) {
+		double expected = prefillMillis(hold.request().promptTokens());
+		double actual = nowMillis - hold.grantedMillis();
+		boolean isSlow = !hasLongPrefill()
+				&& actual > SLOW_FIRST_TOKEN_RATIO * expected + SLOW_FIRST_TOKEN_MARGIN_MILLIS;
+		this.slowFirstTokens = isSlow ? this.slowFirstTokens + 1 : 0;
+		if (this.slowFirstTokens >= SLOW_FIRST_TOKENS_UNTIL_COLD) {
+			this.slowFirstTokens = 0;
+			this.ramp.restart(nowMillis);
+		}
+	}
+
+	boolean release(String key) {
+		Hold hold = this.holds.remove(key);
+		if (hold == null) {
+			return false;
+		}
+		forget(hold);
+		return true;
+	}
+
+	private void forget(Hold hold) {
+		this.reservedKvTokens -= hold.kvTokens();
+		this.longPrefills -= hold.isPrefillingLong() ? 1 : 0;
+		if (hold.request().isIsolated()) {
+			this.isolated = false;
+		}
+	}
+
+	/**
+	 * Takes over a newer report.
+	 * @param next the report
+	 * @param nowMillis the time in milliseconds
+	 * @return the keys of grants lost because the endpoint has restarted
+	 */
+	List<String> observe(EndpointReport next, long nowMillis) {
+		boolean hasRestarted = !next.bootId().equals(this.report.bootId());
+		this.report = next;
+		this.unconfirmed = false;
+		return hasRestarted ? restart(nowMillis) : List.of();
+	}
+
+	/**
+	 * Drops to the ramp's floor and forgets what the endpoint's process held.
+	 * @param nowMillis the time in milliseconds
+	 * @return the keys of the lost grants
+	 */
+	List<String> restart(long nowMillis) {
+		List<String> lost = new ArrayList<>(this.holds.keySet());
+		lost.forEach(this::release);
+		this.prefixes.clear();
+		this.ramp.restart(nowMillis);
+		return lost;
+	}
+
+	void doubt() {
+		this.unconfirmed = true;
+	}
+
+	void ramp(long nowMillis) {
+		this.ramp.restart(nowMillis);
+	}
+
+	void setOut(boolean isOut) {
+		this.out = isOut;
+	}
+
+	/**
+	 * A grant's part on this endpoint.
+	 */
+	private record Hold(GrantRequest request, long kvTokens, long grantedMillis, boolean isPrefillingLong) {
+
+		Hold withPrefillDone() {
+			return new Hold(this.request, this.kvTokens, this.grantedMillis, false);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/LeastLoadedPlacement.java
@@ -0,0 +1,34 @@
+package org.poplarloom.core.process;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.Share;
+
+/**
+ * Sends each request to the endpoint with the fewest requests, first come, first served.
+ * <p>
+ * This is the baseline that other policies are compared with. This class has no state and
+ * is thread-safe.
+ */
+public final class LeastLoadedPlacement implements PlacementPolicy {
+
+	@Override
+	public List<Share> place(GrantRequest request, List<EndpointLedger> endpoints, ShortLoad load, long nowMillis) {
+		List<EndpointLedger> candidates = Placements.admitting(request, endpoints, nowMillis);
+		candidates.sort(Comparator.comparingInt(EndpointLedger::running));
+		return Placements.reserve(request, candidates);
+	}
+
+	@Override
+	public int priority(GrantRequest request, boolean isUrgent) {
+		return 0;
+	}
+
+	@Override
+	public boolean isClassed() {
+		return false;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -0,0 +1,214 @@
+package org.poplarloom.core.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.InstanceId;
+
+/**
+ * The instances and shard homes that an instance knows, spread by gossip.
+ * <p>
+ * A member is live while its heartbeat has grown within the failure timeout, judged by
+ * the local clock alone. News of an instance is replaced only by newer news. This class
+ * is thread-safe; one lock guards its tables and no other lock is taken while it is held.
+ */
+public final class MembershipTable {
+
+	/** The most members in one gossip message. */
+	public static final int GOSSIP_MEMBERS = 32;
+
+	/** The most shard statuses in one gossip message. */
+	public static final int GOSSIP_SHARDS = 16;
+
+	private final long failureTimeoutMillis;
+
+	private final Map<InstanceId, Observed<Member>> members = new TreeMap<>();
+
+	private final Map<ShardId, Observed<ShardStatus>> shards = new HashMap<>();
+
+	private Member self;
+
+	private MembershipTable(Member self, long failureTimeoutMillis) {
+		this.self = self;
+		this.failureTimeoutMillis = failureTimeoutMillis;
+	}
+
+	/**
+	 * Returns a table that holds only the local instance.
+	 * @param self the local instance
+	 * @param failureTimeoutMillis how long a heartbeat may stand still, in milliseconds
+	 * @return the table
+	 */
+	public static MembershipTable of(Member self, long failureTimeoutMillis) {
+		return new MembershipTable(self, failureTimeoutMillis);
+	}
+
+	/**
+	 * Counts one more heartbeat of the local instance.
+	 * @return the local instance
+	 */
+	public synchronized Member heartbeat() {
+		this.self = this.self.plusHeartbeat();
+		return this.self;
+	}
+
+	/**
+	 * Returns the local instance.
+	 * @return the local instance, never null
+	 */
+	public synchronized Member self() {
+		return this.self;
+	}
+
+	/**
+	 * Marks the local instance as shutting down.
+	 */
+	public synchronized void leave() {
+		this.self = this.self.withLeaving();
+	}
+
+	/**
+	 * Takes over members that a peer sent.
+	 * @param news the members
+	 * @param nowMillis the local time in milliseconds
+	 */
+	public synchronized void mergeMembers(Collection<Member> news, long nowMillis) {
+		for (Member member : news) {
+			Observed<Member> known = this.members.get(member.id());
+			boolean isSelf = member.id().equals(this.self.id());
+			if (!isSelf && (known == null || member.isNewerThan(known.value()))) {
+				this.members.put(member.id(), new Observed<>(member, nowMillis));
+			}
+		}
+	}
+
+	/**
+	 * Takes over shard statuses that a peer sent.
+	 * @param news the statuses
+	 * @param nowMillis the local time in milliseconds
+	 */
+	public synchronized void mergeShards(Collection<ShardStatus> news, long nowMillis) {
+		for (ShardStatus status : news) {
+			Observed<ShardStatus> known = this.shards.get(status.shard());
+			if (known == null || status.updatedMillis() > known.value().updatedMillis()) {
+				this.shards.put(status.shard(), new Observed<>(status, nowMillis));
+			}
+		}
+	}
+
+	/**
+	 * Forgets members that have been silent for a long time.
+	 * @param silentMillis the time in milliseconds
+	 * @param nowMillis the local time in milliseconds
+	 */
+	public synchronized void forgetSilent(long silentMillis, long nowMillis) {
+		this.members.values().removeIf((entry) -> entry.atMillis() + silentMillis < nowMillis);
+		this.shards.values().removeIf((entry) -> entry.atMillis() + silentMillis < nowMillis);
+	}
+
+	/**
+	 * Returns the live members of a zone, with the local instance if it is one.
+	 * @param zone the zone
+	 * @param nowMillis the local time in milliseconds
+	 * @return members that are not shutting down, in ascending order
+	 */
+	public synchronized List<Member> live(AvailabilityZone zone, long nowMillis) {
+		return allLive(nowMillis).stream()
+			.filter((member) -> member.zone().equals(zone) && !member.isLeaving())
+			.toList();
+	}
+
+	/**
+	 * Returns all live members, with the local instance.
+	 * @param nowMillis the local time in milliseconds
+	 * @return the members in ascending order
+	 */
+	public synchronized List<Member> allLive(long nowMillis) {
+		List<Member> live = new ArrayList<>();
+		live.add(this.self);
+		for (Observed<Member> entry : this.members.values()) {
+			if (isRecent(entry, nowMillis)) {
+				live.add(entry.value());
+			}
+		}
+		live.sort(Comparator.comparing(Member::id));
+		return live;
+	}
+
+	/**
+	 * Finds the home of a shard in the local zone.
+	 * @param shard the shard
+	 * @param nowMillis the local time in milliseconds
+	 * @return the live member with the highest weight, or empty
+	 */
+	public Optional<Member> home(ShardId shard, long nowMillis) {
+		List<Member> live = live(shard.zone(), nowMillis);
+		List<InstanceId> ids = live.stream().map(Member::id).toList();
+		Optional<InstanceId> chosen = Rendezvous.choose(shard.toString(), ids);
+		return chosen.flatMap((id) -> live.stream().filter((member) -> member.id().equals(id)).findFirst());
+	}
+
+	/**
+	 * Returns the shard homes heard of recently.
+	 * @param nowMillis the local time in milliseconds
+	 * @return the statuses in no particular order
+	 */
+	public synchronized List<ShardStatus> liveShards(long nowMillis) {
+		return this.shards.values()
+			.stream()
+			.filter((entry) -> isRecent(entry, nowMillis))
+			.map(Observed::value)
+			.toList();
+	}
+
+	/**
+	 * Returns members to tell a peer of the same zone.
+	 * @param nowMillis the local time in milliseconds
+	 * @param random the source of the choice when there are too many
+	 * @return the local instance first, then live members of the zone
+	 */
+	public synchronized List<Member> gossipMembers(long nowMillis, Random random) {
+		List<Member> others = new ArrayList<>(allLive(nowMillis));
+		others.removeIf((member) -> member.id().equals(this.self.id()) || !member.zone().equals(this.self.zone()));
+		Collections.shuffle(others, random);
+		List<Member> chosen = new ArrayList<>();
+		chosen.add(this.self);
+		chosen.addAll(others.subList(0, Math.min(others.size(), GOSSIP_MEMBERS - 1)));
+		return chosen;
+	}
+
+	/**
+	 * Returns shard statuses to tell a peer, the most recently heard first.
+	 * @param nowMillis the local time in milliseconds
+	 * @return the statuses
+	 */
+	public synchronized List<ShardStatus> gossipShards(long nowMillis) {
+		return this.shards.values()
+			.stream()
+			.filter((entry) -> isRecent(entry, nowMillis))
+			.sorted(Comparator.comparingLong((Observed<ShardStatus> entry) -> -entry.atMillis()))
+			.limit(GOSSIP_SHARDS)
+			.map(Observed::value)
+			.toList();
+	}
+
+	private boolean isRecent(Observed<?> entry, long nowMillis) {
+		return nowMillis - entry.atMillis() <= this.failureTimeoutMillis;
+	}
+
+	/**
+	 * A value and the local time at which it was learnt.
+	 */
+	private record Observed<T>(T value, long atMillis) {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
@@ -0,0 +1,40 @@
+package org.poplarloom.core.process;
+
+import java.util.List;
+
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.Share;
+
+/**
+ * Chooses the endpoints for a request.
+ * <p>
+ * Implementations have no state of their own and are thread-safe; the home's lock guards
+ * what they are given.
+ */
+public interface PlacementPolicy {
+
+	/**
+	 * Chooses where a request runs now.
+	 * @param request the request
+	 * @param endpoints all endpoints of the shard in ascending order
+	 * @param load the recent load of short prompts
+	 * @param nowMillis the time in milliseconds
+	 * @return the shares in ascending order of endpoints, empty if the request must wait
+	 */
+	List<Share> place(GrantRequest request, List<EndpointLedger> endpoints, ShortLoad load, long nowMillis);
+
+	/**
+	 * Returns the priority that the engine gives the request.
+	 * @param request the request
+	 * @param isUrgent whether the request would miss its deadline otherwise
+	 * @return the priority, higher runs first
+	 */
+	int priority(GrantRequest request, boolean isUrgent);
+
+	/**
+	 * Says whether short prompts leave the queue before long ones.
+	 * @return false for first come, first served
+	 */
+	boolean isClassed();
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -0,0 +1,493 @@
+package org.poplarloom.core.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.FenceNumber;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantDecision;
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.Share;
+
+/**
+ * Grants the endpoints of one shard; the only place where their use is exact.
+ * <p>
+ * Memory granted on an endpoint never exceeds what it reported, requests never exceed its
+ * ramp, and a request that needs several endpoints gets all of them or none. Until the
+ * settle time ends, holders may announce grants of the previous home and little is
+ * granted. Decisions on waiting requests are returned to the caller of the operation that
+ * made them possible. This class is thread-safe; one lock guards all its tables and no
+ * other lock is taken while it is held.
+ */
+public final class ShardHome {
+
+	private static final int LONGEST_QUEUE = 10_000;
+
+	private static final long GRANT_SLACK_MILLIS = 2_000;
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private static final int LINE_SCAN_LIMIT = 64;
+
+	private static final double URGENT_SLACK_RATIO = 1.5;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final PlacementPolicy policy;
+
+	private final ColdStartRamp.Settings rampSettings;
+
+	private final TreeMap<EndpointId, EndpointLedger> ledgers = new TreeMap<>();
+
+	private final Map<String, Held> held = new HashMap<>();
+
+	private final GrantQueue queue;
+
+	private final ShortLoad shortLoad = new ShortLoad();
+
+	private List<EndpointLedger> ledgerList = List.of();
+
+	private FenceNumber fence = FenceNumber.NONE;
+
+	private long settledMillis;
+
+	private boolean out;
+
+	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settledMillis) {
+		this.policy = policy;
+		this.rampSettings = rampSettings;
+		this.settledMillis = settledMillis;
+		this.queue = new GrantQueue(policy.isClassed());
+	}
+
+	/**
+	 * Returns a home without endpoints.
+	 * @param policy where requests are placed
+	 * @param rampSettings how endpoints that have just started are loaded
+	 * @param settledMillis when grants of a previous home need no longer be expected, in
+	 * milliseconds since the epoch
+	 * @return the home
+	 */
+	public static ShardHome of(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settledMillis) {
+		return new ShardHome(policy, rampSettings, settledMillis);
+	}
+
+	/**
+	 * Decides about a request.
+	 * @param holder the instance that asks
+	 * @param request the request; repeating it replaces the earlier one
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the decision
+	 */
+	public GrantDecision request(InstanceId holder, GrantRequest request, long nowMillis) {
+		this.lock.lock();
+		try {
+			Held known = this.held.get(request.key());
+			if (known != null) {
+				return new GrantDecision.Granted(known.grant());
+			}
+			if (!request.lengthClass().isLong()) {
+				this.shortLoad.add(request.promptTokens(), nowMillis);
+			}
+			ErrorCode refusal = refusal(request, nowMillis);
+			if (refusal != null) {
+				return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
+			}
+			Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, nowMillis) : null;
+			if (grant != null) {
+				return new GrantDecision.Granted(grant);
+			}
+			this.queue.add(holder, request);
+			return new GrantDecision.Queued(request.requestId(), request.attempt());
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private ErrorCode refusal(GrantRequest request, long nowMillis) {
+		if (this.out) {
+			return ErrorCode.ZONE_OUT;
+		}
+		List<EndpointLedger> serving = this.ledgerList.stream().filter((ledger) -> ledger.mayServe(request)).toList();
+		long capacity = serving.stream().mapToLong((ledger) -> ledger.report().kvTokens()).sum();
+		if (capacity < request.kvTokens()) {
+			return ErrorCode.NO_ENDPOINT;
+		}
+		if (this.queue.size() >= LONGEST_QUEUE) {
+			return ErrorCode.QUEUE_FULL;
+		}
+		return canMeetDeadline(request, serving, nowMillis) ? null : ErrorCode.DEADLINE_UNREACHABLE;
+	}
+
+	private boolean canMeetDeadline(GrantRequest request, List<EndpointLedger> serving, long nowMillis) {
+		double ahead = request.lengthClass().isLong() ? (double) this.queue.longTokens() / serving.size() : 0;
+		double needed = serving.get(0).prefillMillis(request.promptTokens() + (long) ahead);
+		return nowMillis + needed <= request.deadlineMillis();
+	}
+
+	private Grant tryGrant(InstanceId holder, GrantRequest request, long nowMillis) {
+		if (nowMillis < this.settledMillis && !mayGrantUnsettled(request)) {
+			return null;
+		}
+		List<Share> shares = this.policy.place(request, this.ledgerList, this.shortLoad, nowMillis);
+		if (shares.isEmpty()) {
+			return null;
+		}
+		long expiry = request.deadlineMillis() + GRANT_SLACK_MILLIS;
+		int priority = this.policy.priority(request, isUrgent(request, nowMillis));
+		Grant grant = new Grant(request, shares, this.fence, expiry, priority);
+		hold(holder, grant, nowMillis);
+		return grant;
+	}
+
+	private boolean mayGrantUnsettled(GrantRequest request) {
+		long running = this.held.size();
+		return !request.lengthClass().isLong() && running < (long) this.rampSettings.floor() * this.ledgers.size();
+	}
+
+	private boolean isUrgent(GrantRequest request, long nowMillis) {
+		double needed = this.ledgerList.get(0).prefillMillis(request.promptTokens());
+		return nowMillis + needed * URGENT_SLACK_RATIO > request.deadlineMillis();
+	}
+
+	private void hold(InstanceId holder, Grant grant, long nowMillis) {
+		for (Share share : grant.shares()) {
+			EndpointLedger ledger = this.ledgers.get(share.endpoint());
+			if (ledger != null) {
+				ledger.hold(grant, share.kvTokens(), nowMillis);
+			}
+		}
+		this.held.put(grant.key(), new Held(holder, grant));
+	}
+
+	/**
+	 * Takes over a grant of a previous home that its holder still uses.
+	 * @param holder the instance that holds the grant
+	 * @param grant the grant
+	 * @param nowMillis the time in milliseconds since the epoch
+	 */
+	public void announce(InstanceId holder, Grant grant, long nowMillis) {
+		this.lock.lock();
+		try {
+			this.queue.remove(grant.key());
+			hold(holder, grant, nowMillis);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Notes that a request has produced its first token.
+	 * @param key the identity of the grant
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> firstToken(String key, long nowMillis) {
+		this.lock.lock();
+		try {
+			Held found = this.held.get(key);
+			if (found == null) {
+				return List.of();
+			}
+			forEachLedger(found.grant(), (ledger) -> ledger.firstToken(key, nowMillis));
+			return found.grant().request().lengthClass().isLong() ? pump(nowMillis) : List.of();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Ends a grant or takes a request out of the queue.
+	 * @param key the identity of the grant
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> release(String key, long nowMillis) {
+		this.lock.lock();
+		try {
+			this.queue.remove(key);
+			return free(key) ? pump(nowMillis) : List.of();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Ends everything that an instance holds or waits for.
+	 * @param holder the instance, which is known to have ended
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> releaseHolder(InstanceId holder, long nowMillis) {
+		this.lock.lock();
+		try {
+			this.queue.all()
+				.stream()
+				.filter((waiting) -> waiting.holder().equals(holder))
+				.forEach((waiting) -> this.queue.remove(waiting.request().key()));
+			return freeIf((entry) -> entry.holder().equals(holder)) ? pump(nowMillis) : List.of();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private boolean freeIf(Predicate<Held> condition) {
+		List<String> keys = this.held.values().stream().filter(condition).map((entry) -> entry.grant().key()).toList();
+		keys.forEach(this::free);
+		return !keys.isEmpty();
+	}
+
+	private boolean free(String key) {
+		Held found = this.held.remove(key);
+		if (found == null) {
+			return false;
+		}
+		forEachLedger(found.grant(), (ledger) -> ledger.release(key));
+		return true;
+	}
+
+	private void forEachLedger(Grant grant, java.util.function.Consumer<EndpointLedger> action) {
+		for (Share share : grant.shares()) {
+			EndpointLedger ledger = this.ledgers.get(share.endpoint());
+			if (ledger != null) {
+				action.accept(ledger);
+			}
+		}
+	}
+
+	/**
+	 * Ends grants and waiting requests whose time is over and grants what has become
+	 * possible.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> tick(long nowMillis) {
+		this.lock.lock();
+		try {
+			freeIf((entry) -> entry.grant().expiryMillis() <= nowMillis);
+			List<HomeDecision> decisions = new ArrayList<>();
+			for (GrantQueue.Waiting waiting : this.queue.all()) {
+				if (waiting.request().deadlineMillis() <= nowMillis) {
+					decisions.add(refuse(waiting, ErrorCode.DEADLINE_EXCEEDED));
+				}
+			}
+			decisions.addAll(pump(nowMillis));
+			return decisions;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private HomeDecision refuse(GrantQueue.Waiting waiting, ErrorCode code) {
+		GrantRequest request = waiting.request();
+		this.queue.remove(request.key());
+		return new HomeDecision(waiting.holder(),
+				new GrantDecision.Refused(request.requestId(), request.attempt(), code, RETRY_AFTER_MILLIS));
+	}
+
+	private List<HomeDecision> pump(long nowMillis) {
+		if (this.queue.size() == 0 || this.ledgerList.isEmpty()) {
+			return List.of();
+		}
+		List<HomeDecision> decisions = new ArrayList<>();
+		for (List<GrantQueue.Waiting> line : this.queue.lines()) {
+			pumpLine(line, nowMillis, decisions);
+		}
+		return decisions;
+	}
+
+	private void pumpLine(List<GrantQueue.Waiting> line, long nowMillis, List<HomeDecision> decisions) {
+		int failures = 0;
+		for (GrantQueue.Waiting waiting : line) {
+			Grant grant = tryGrant(waiting.holder(), waiting.request(), nowMillis);
+			if (grant != null) {
+				this.queue.remove(grant.key());
+				decisions.add(new HomeDecision(waiting.holder(), new GrantDecision.Granted(grant)));
+				continue;
+			}
+			failures++;
+			boolean mayOvertake = !waiting.request().lengthClass().isLong();
+			if (!mayOvertake || failures >= LINE_SCAN_LIMIT) {
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Takes over endpoint reports and forgets endpoints that are no longer in the shard.
+	 * <p>
+	 * An endpoint that is new to the home is warm if it started long enough ago.
+	 * @param reports the reports of all endpoints of the shard
+	 * @param outEndpoints endpoints that operators took out
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> observe(Collection<EndpointReport> reports, Set<EndpointId> outEndpoints,
+			long nowMillis) {
+		this.lock.lock();
+		try {
+			Set<EndpointId> present = new HashSet<>();
+			for (EndpointReport report : reports) {
+				present.add(report.endpoint());
+				observe(report, nowMillis);
+				this.ledgers.get(report.endpoint()).setOut(outEndpoints.contains(report.endpoint()));
+			}
+			this.ledgers.keySet().retainAll(present);
+			this.ledgerList = List.copyOf(this.ledgers.values());
+			return pump(nowMillis);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private void observe(EndpointReport report, long nowMillis) {
+		EndpointLedger ledger = this.ledgers.get(report.endpoint());
+		if (ledger == null) {
+			long startedMillis = nowMillis - report.uptimeMillis();
+			ColdStartRamp ramp = ColdStartRamp.startingAt(this.rampSettings, startedMillis);
+			this.ledgers.put(report.endpoint(), new EndpointLedger(report, ramp));
+			return;
+		}
+		ledger.observe(report, nowMillis).forEach(this::free);
+	}
+
+	/**
+	 * Stops granting an endpoint on which a request has failed until its next report.
+	 * <p>
+	 * If that report shows a restart, the endpoint's grants are lost and it ramps up.
+	 * @param endpoint the endpoint
+	 */
+	public void doubt(EndpointId endpoint) {
+		this.lock.lock();
+		try {
+			EndpointLedger ledger = this.ledgers.get(endpoint);
+			if (ledger != null) {
+				ledger.doubt();
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Stops or resumes granting; when it resumes, all endpoints ramp up as cold ones.
+	 * @param isOut whether the shard's zone takes no new work
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return refusals for the requests that waited
+	 */
+	public List<HomeDecision> setOut(boolean isOut, long nowMillis) {
+		this.lock.lock();
+		try {
+			if (this.out && !isOut) {
+				this.ledgerList.forEach((ledger) -> ledger.ramp(nowMillis));
+			}
+			this.out = isOut;
+			if (!isOut) {
+				return List.of();
+			}
+			return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.ZONE_OUT)).toList();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Refuses all waiting requests because another instance is now the home.
+	 * @return the refusals
+	 */
+	public List<HomeDecision> resign() {
+		this.lock.lock();
+		try {
+			return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.NOT_HOME)).toList();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Raises the fence number above every number that an endpoint has seen.
+	 * @param instance the instance that is the home
+	 * @return the number now in force
+	 */
+	public FenceNumber raiseFence(InstanceId instance) {
+		this.lock.lock();
+		try {
+			long highest = this.ledgerList.stream()
+				.mapToLong((ledger) -> ledger.report().highestFence())
+				.max()
+				.orElse(0);
+			if (highest > this.fence.value() || this.fence.equals(FenceNumber.NONE)) {
+				this.fence = new FenceNumber(Math.max(highest, this.fence.value())).next(instance);
+			}
+			return this.fence;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Describes the home for other instances.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the summary
+	 */
+	public HomeSummary summary(long nowMillis) {
+		this.lock.lock();
+		try {
+			int slots = 0;
+			int running = 0;
+			for (EndpointLedger ledger : this.ledgerList) {
+				slots += ledger.isWarm(nowMillis) ? ledger.report().slots() : this.rampSettings.floor();
+				running += ledger.running();
+			}
+			return new HomeSummary(this.ledgerList.size(), slots, running, this.queue.size(), this.out);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Returns the number of requests granted on an endpoint.
+	 * @param endpoint the endpoint
+	 * @return a number from 0
+	 */
+	public int runningOn(EndpointId endpoint) {
+		this.lock.lock();
+		try {
+			EndpointLedger ledger = this.ledgers.get(endpoint);
+			return (ledger != null) ? ledger.running() : 0;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * A grant and its holder.
+	 */
+	private record Held(InstanceId holder, Grant grant) {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardId.java
@@ -0,0 +1,32 @@
+package org.poplarloom.core.process;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.EndpointId;
+
+/**
+ * One of the equal parts of a zone's endpoints.
+ * <p>
+ * This class is immutable and thread-safe.
+ *
+ * @param zone the zone
+ * @param index the part, counted from 0
+ */
+public record ShardId(AvailabilityZone zone, int index) {
+
+	/**
+	 * Returns the shard that an endpoint belongs to.
+	 * @param zone the endpoint's zone
+	 * @param endpoint the endpoint
+	 * @param shardsPerZone the number of shards in the zone
+	 * @return the shard
+	 */
+	public static ShardId of(AvailabilityZone zone, EndpointId endpoint, int shardsPerZone) {
+		return new ShardId(zone, Math.floorMod(endpoint.value().hashCode(), shardsPerZone));
+	}
+
+	@Override
+	public String toString() {
+		return this.zone + "/" + this.index;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantDecision.java
@@ -0,0 +1,40 @@
+package org.poplarloom.core.request;
+
+import org.poplarloom.core.ErrorCode;
+
+/**
+ * What a home decided about a grant request.
+ * <p>
+ * All implementations are immutable and thread-safe.
+ */
+public sealed interface GrantDecision {
+
+	/**
+	 * The request may run now.
+	 *
+	 * @param grant the grant
+	 */
+	record Granted(Grant grant) implements GrantDecision {
+	}
+
+	/**
+	 * The request waits in the home's queue and a later decision follows.
+	 *
+	 * @param requestId the request
+	 * @param attempt the attempt
+	 */
+	record Queued(String requestId, int attempt) implements GrantDecision {
+	}
+
+	/**
+	 * The home does not run the request.
+	 *
+	 * @param requestId the request
+	 * @param attempt the attempt
+	 * @param code the reason
+	 * @param retryAfterMillis when another try may succeed, in milliseconds
+	 */
+	record Refused(String requestId, int attempt, ErrorCode code, long retryAfterMillis) implements GrantDecision {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
@@ -0,0 +1,55 @@
+package org.poplarloom.core.request;
+
+import java.util.Set;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.TeamId;
+
+/**
+ * Asks a home for the right to run one attempt of a request.
+ * <p>
+ * This class is immutable and thread-safe.
+ *
+ * @param requestId the request, unique in the system
+ * @param attempt the attempt, counted from 1
+ * @param team the team that the request is charged to
+ * @param model the model to run
+ * @param promptTokens the estimated prompt length in tokens
+ * @param answerTokens the longest answer in tokens
+ * @param prefixHash the hash of the prompt's leading block, 0 if there is none
+ * @param deadlineMillis when the request must have ended, in milliseconds since the epoch
+ * @param isIsolated whether the request must run apart from others
+ * @param excluded endpoints that have already failed the request
+ */
+public record GrantRequest(String requestId, int attempt, TeamId team, String model, long promptTokens,
+		long answerTokens, long prefixHash, long deadlineMillis, boolean isIsolated, Set<EndpointId> excluded) {
+
+	public GrantRequest {
+		excluded = Set.copyOf(excluded);
+	}
+
+	/**
+	 * Returns the identity of the attempt.
+	 * @return request id and attempt
+	 */
+	public String key() {
+		return Grant.key(this.requestId, this.attempt);
+	}
+
+	/**
+	 * Returns the memory that the request may need at most.
+	 * @return size of the KV cache in tokens
+	 */
+	public long kvTokens() {
+		return this.promptTokens + this.answerTokens;
+	}
+
+	/**
+	 * Returns the length class of the prompt.
+	 * @return the class, never null
+	 */
+	public LengthClass lengthClass() {
+		return LengthClass.of(this.promptTokens);
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/Configuration.java
@@ -0,0 +1,263 @@
+package org.poplarloom.core.version;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.TeamId;
+
+/**
+ * One version of the configuration, folded from the publications up to an offset.
+ * <p>
+ * Two instances that have folded the same publications hold equal configurations with
+ * equal digests. The offset never falls from one version to the next. This class is
+ * immutable and thread-safe.
+ */
+public final class Configuration {
+
+	/** The configuration before the first publication. */
+	public static final Configuration EMPTY = new Configuration(Publication.NO_OFFSET, Map.of(), Map.of(), Map.of());
+
+	/** How many publication ids are remembered to recognise repeated appends. */
+	static final int REMEMBERED_IDS = 16_384;
+
+	private final long offset;
+
+	private final Map<String, Entry> entries;
+
+	private final Map<String, Long> appliedIds;
+
+	private final Map<String, Contract> contractsByKeyHash;
+
+	private final long digest;
+
+	private Configuration(long offset, Map<String, Entry> entries, Map<String, Long> appliedIds,
+			Map<String, Contract> contractsByKeyHash) {
+		this.offset = offset;
+		this.entries = entries;
+		this.appliedIds = appliedIds;
+		this.contractsByKeyHash = contractsByKeyHash;
+		this.digest = entries.entrySet().stream().mapToLong(Configuration::entryDigest).sum();
+	}
+
+	/**
+	 * Returns the configuration that a snapshot describes.
+	 * @param snapshot the snapshot
+	 * @return the configuration
+	 */
+	public static Configuration of(Snapshot snapshot) {
+		Map<String, Entry> entries = new HashMap<>();
+		snapshot.entries().forEach((entry) -> entries.put(entry.change().subject().value(), entry));
+		return new Configuration(snapshot.offset(), entries, new LinkedHashMap<>(snapshot.appliedIds()),
+				indexKeys(entries));
+	}
+
+	private static Map<String, Contract> indexKeys(Map<String, Entry> entries) {
+		Map<String, Contract> index = new HashMap<>();
+		for (Entry entry : entries.values()) {
+			if (entry.change() instanceof Change.PutContract put) {
+				put.contract().keyHashes().forEach((hash) -> index.put(hash, put.contract()));
+			}
+		}
+		return index;
+	}
+
+	private static long entryDigest(Map.Entry<String, Entry> entry) {
+		long mixed = 31L * entry.getKey().hashCode() + entry.getValue().offset();
+		mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
+		return mixed ^ (mixed >>> 33);
+	}
+
+	/**
+	 * Returns the highest offset that the configuration covers.
+	 * @return the offset, or {@link Publication#NO_OFFSET}
+	 */
+	public long offset() {
+		return this.offset;
+	}
+
+	/**
+	 * Returns a number that differs between different configurations.
+	 * @return the digest
+	 */
+	public long digest() {
+		return this.digest;
+	}
+
+	/**
+	 * Finds the contract that a key belongs to.
+	 * @param keyHash the lower-case hexadecimal SHA-256 hash of the key
+	 * @return the contract, or empty
+	 */
+	public Optional<Contract> contractOfKey(String keyHash) {
+		return Optional.ofNullable(this.contractsByKeyHash.get(keyHash));
+	}
+
+	/**
+	 * Finds the contract of a team.
+	 * @param team the team
+	 * @return the contract, or empty
+	 */
+	public Optional<Contract> contract(TeamId team) {
+		Entry entry = this.entries.get(Subject.of(team).value());
+		return Optional.ofNullable(entry).map((found) -> ((Change.PutContract) found.change()).contract());
+	}
+
+	/**
+	 * Returns all contracts.
+	 * @return the contracts in no particular order
+	 */
+	public List<Contract> contracts() {
+		List<Contract> contracts = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (entry.change() instanceof Change.PutContract put) {
+				contracts.add(put.contract());
+			}
+		}
+		return contracts;
+	}
+
+	/**
+	 * Returns the desired state of every model that has one.
+	 * @return the changes in no particular order
+	 */
+	public List<Change.SetModel> models() {
+		List<Change.SetModel> models = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (entry.change() instanceof Change.SetModel model) {
+				models.add(model);
+			}
+		}
+		return models;
+	}
+
+	/**
+	 * Says whether a zone takes no new work.
+	 * @param zone the zone
+	 * @return true if it was taken out
+	 */
+	public boolean isZoneOut(AvailabilityZone zone) {
+		Entry entry = this.entries.get(Subject.of(zone).value());
+		return entry != null && ((Change.SetZone) entry.change()).isOut();
+	}
+
+	/**
+	 * Says whether an endpoint takes no new work.
+	 * @param endpoint the endpoint
+	 * @return true if it was taken out
+	 */
+	public boolean isEndpointOut(EndpointId endpoint) {
+		return isInstanceOut(InstanceId.of(endpoint.value()));
+	}
+
+	/**
+	 * Says whether an instance takes no new work.
+	 * @param instance the instance
+	 * @return true if it was taken out
+	 */
+	public boolean isInstanceOut(InstanceId instance) {
+		Entry entry = this.entries.get(Subject.of(instance).value());
+		return entry != null && ((Change.SetInstance) entry.change()).isOut();
+	}
+
+	/**
+	 * Returns the offset of the last change of a subject.
+	 * @param subject the subject
+	 * @return the offset, or {@link Publication#NO_OFFSET}
+	 */
+	public long offsetOf(Subject subject) {
+		Entry entry = this.entries.get(subject.value());
+		return (entry != null) ? entry.offset() : Publication.NO_OFFSET;
+	}
+
+	/**
+	 * Says whether a publication was applied.
+	 * @param publicationId the identity of the publish call
+	 * @return true if it was applied, false if it was not seen or conflicted
+	 */
+	public boolean hasApplied(String publicationId) {
+		return this.appliedIds.containsKey(publicationId);
+	}
+
+	/**
+	 * Returns the configuration after one more publication.
+	 * <p>
+	 * A publication at a covered offset, a repeated one and one that conflicts leave the
+	 * content as it is.
+	 * @param at the publication's offset
+	 * @param publication the publication
+	 * @return the next version
+	 */
+	public Configuration plus(long at, Publication publication) {
+		if (at <= this.offset) {
+			return this;
+		}
+		if (hasApplied(publication.id()) || isConflict(publication)) {
+			return withOffset(at);
+		}
+		Map<String, Entry> nextEntries = new HashMap<>(this.entries);
+		nextEntries.put(publication.change().subject().value(), new Entry(at, publication.change()));
+		Map<String, Long> nextIds = new LinkedHashMap<>(this.appliedIds);
+		nextIds.put(publication.id(), at);
+		if (nextIds.size() > REMEMBERED_IDS) {
+			nextIds.remove(nextIds.keySet().iterator().next());
+		}
+		boolean isContract = publication.change() instanceof Change.PutContract;
+		Map<String, Contract> index = isContract ? indexKeys(nextEntries) : this.contractsByKeyHash;
+		return new Configuration(at, nextEntries, nextIds, index);
+	}
+
+	/**
+	 * Returns the same content at a higher offset.
+	 * @param at the offset
+	 * @return this configuration if the offset is not higher
+	 */
+	public Configuration withOffset(long at) {
+		return (at <= this.offset) ? this
+				: new Configuration(at, this.entries, this.appliedIds, this.contractsByKeyHash);
+	}
+
+	private boolean isConflict(Publication publication) {
+		long expected = publication.expectedOffset();
+		return expected != Publication.ANY_OFFSET && expected != offsetOf(publication.change().subject());
+	}
+
+	/**
+	 * Returns a description from which an equal configuration can be made.
+	 * @return the snapshot
+	 */
+	public Snapshot toSnapshot() {
+		return new Snapshot(this.offset, List.copyOf(this.entries.values()), this.appliedIds);
+	}
+
+	@Override
+	public String toString() {
+		return "Configuration[offset=" + this.offset + ", digest=" + Long.toHexString(this.digest) + "]";
+	}
+
+	/**
+	 * The last change of one subject.
+	 *
+	 * @param offset the offset of the change
+	 * @param change the change
+	 */
+	public record Entry(long offset, Change change) {
+	}
+
+	/**
+	 * The whole content of a configuration.
+	 *
+	 * @param offset the highest offset covered
+	 * @param entries the last change of each subject
+	 * @param appliedIds the ids of recent publications with their offsets
+	 */
+	public record Snapshot(long offset, List<Entry> entries, Map<String, Long> appliedIds) {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/Contract.java
@@ -0,0 +1,38 @@
+package org.poplarloom.core.version;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.poplarloom.core.TeamId;
+
+/**
+ * The contract with one team; every limit on the team follows from it.
+ * <p>
+ * All numbers are positive, except the retry budget, which may be 0. This class is
+ * immutable and thread-safe.
+ *
+ * @param team the team
+ * @param owner the fleet owner that pays for the team's use
+ * @param keyHashes lower-case hexadecimal SHA-256 hashes of the team's keys
+ * @param requestsPerSecond the request rate
+ * @param tokensPerSecond the rate of prompt and answer tokens
+ * @param requestsInFlight the most requests at one time
+ * @param tokensInFlight the most prompt and answer tokens at one time
+ * @param longestPromptTokens the longest prompt
+ * @param longestAnswerSeconds the longest time for one request
+ * @param retryBudgetPercent retries per 100 requests
+ * @param models the models that may be used
+ * @param services the plain services that may be called
+ */
+public record Contract(TeamId team, String owner, List<String> keyHashes, double requestsPerSecond,
+		double tokensPerSecond, long requestsInFlight, long tokensInFlight, long longestPromptTokens,
+		long longestAnswerSeconds, double retryBudgetPercent, Set<String> models, Map<String, ServiceTerms> services) {
+
+	public Contract {
+		keyHashes = List.copyOf(keyHashes);
+		models = Set.copyOf(models);
+		services = Map.copyOf(services);
+	}
+
+}
--- /dev/null
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/Table.java
@@ -0,0 +1,59 @@
+package org.poplarloom.ctl;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Prints rows in aligned columns.
+ * <p>
+ * This class is not thread-safe.
+ */
+final class Table {
+
+	private static final String GAP = "  ";
+
+	private final List<List<String>> rows = new ArrayList<>();
+
+	private Table(List<String> header) {
+		this.rows.add(header);
+	}
+
+	/**
+	 * Makes a table of the given fields of JSON objects.
+	 * @param objects an array of objects
+	 * @param fields the fields, one column each
+	 * @return the table
+	 */
+	static Table of(JsonNode objects, String... fields) {
+		Table table = new Table(List.of(fields));
+		for (JsonNode object : objects) {
+			List<String> row = new ArrayList<>();
+			for (String field : fields) {
+				row.add(object.at("/" + field.replace('.', '/')).asText());
+			}
+			table.rows.add(row);
+		}
+		return table;
+	}
+
+	@Override
+	public String toString() {
+		StringBuilder text = new StringBuilder();
+		for (List<String> row : this.rows) {
+			for (int column = 0; column < row.size(); column++) {
+				boolean isLast = column == row.size() - 1;
+				String cell = row.get(column);
+				text.append(cell);
+				text.append(isLast ? "\n" : " ".repeat(width(column) - cell.length()) + GAP);
+			}
+		}
+		return text.toString();
+	}
+
+	private int width(int column) {
+		return this.rows.stream().mapToInt((row) -> row.get(column).length()).max().orElse(0);
+	}
+
+}
--- /dev/null
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' client.
+ */
+package org.poplarloom.ctl;
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -0,0 +1,114 @@
+package org.poplarloom.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Findings;
+import org.poplarloom.core.version.ContractReader;
+import org.poplarloom.entry.process.Daemon;
+
+/**
+ * The daemon's main program.
+ * <p>
+ * Exit codes: 0 for success, 1 for findings in settings or documents, 2 for a wrong
+ * command line. This class has no state and is thread-safe.
+ */
+public final class Poplarloom {
+
+	private static final String VARIABLE_PREFIX = "POPLARLOOM_";
+
+	private static final int EXIT_FINDINGS = 1;
+
+	private static final int EXIT_USAGE = 2;
+
+	private Poplarloom() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		int exit = run(arguments);
+		if (exit >= 0) {
+			System.exit(exit);
+		}
+	}
+
+	private static int run(String[] arguments) {
+		Options options = new Options();
+		JCommander commander = JCommander.newBuilder()
+			.programName("poplarloom")
+			.addObject(options)
+			.defaultProvider((name) -> System.getenv(variable(name)))
+			.build();
+		try {
+			commander.parse(arguments);
+		}
+		catch (ParameterException ex) {
+			System.err.println(ex.getMessage());
+			return EXIT_USAGE;
+		}
+		if (options.isHelp()) {
+			commander.usage();
+			return 0;
+		}
+		if (options.isVersion()) {
+			String version = Poplarloom.class.getPackage().getImplementationVersion();
+			System.out.println("poplarloom " + ((version != null) ? version : "development"));
+			return 0;
+		}
+		return runCommand(options);
+	}
+
+	private static String variable(String flag) {
+		return VARIABLE_PREFIX + flag.replaceFirst("^-+", "").replace('-', '_').toUpperCase(Locale.ROOT);
+	}
+
+	private static int runCommand(Options options) {
+		Findings findings = new Findings();
+		Settings settings = new SettingsReader(findings).read(options, System.getenv());
+		List<String> words = options.arguments();
+		String command = words.isEmpty() ? "run" : words.get(0);
+		if (command.equals("check")) {
+			words.subList(1, words.size()).forEach((file) -> check(file, findings));
+			return report(findings);
+		}
+		if (!command.equals("run")) {
+			System.err.println("unknown command '" + command + "'; see poplarloom --help");
+			return EXIT_USAGE;
+		}
+		if (!findings.isEmpty()) {
+			return report(findings);
+		}
+		if (options.logFormat().equals("json")) {
+			System.setProperty("logback.configurationFile", "logback-json.xml");
+		}
+		Daemon daemon = Daemon.start(settings);
+		Runtime.getRuntime().addShutdownHook(new Thread(daemon::stopGracefully, "shutdown"));
+		return -1;
+	}
+
+	private static void check(String file, Findings findings) {
+		try {
+			ContractReader.read(file, Files.readString(Path.of(file)), findings);
+		}
+		catch (IOException ex) {
+			findings.add(file, ErrorCode.INVALID_DOCUMENT, "cannot be read: " + ex.getMessage());
+		}
+	}
+
+	private static int report(Findings findings) {
+		findings.entries().forEach(System.err::println);
+		System.err.println(findings.entries().size() + " findings");
+		return findings.isEmpty() ? 0 : EXIT_FINDINGS;
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -0,0 +1,136 @@
+package org.poplarloom.entry;
+
+import java.util.Map;
+import java.util.function.Function;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Findings;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.ColdStartRamp;
+
+/**
+ * Checks flags and environment variables and makes settings of them.
+ * <p>
+ * Every finding is collected with the flag or variable it is about. This class is not
+ * thread-safe.
+ */
+public final class SettingsReader {
+
+	/** The environment variable with the secret that all instances share. */
+	public static final String PEER_KEY = "POPLARLOOM_PEER_KEY";
+
+	/** The environment variable with the secret that operators show. */
+	public static final String OPERATOR_TOKEN = "POPLARLOOM_OPERATOR_TOKEN";
+
+	private static final int SHORTEST_SECRET = 16;
+
+	private static final int HIGHEST_PORT = 65_535;
+
+	private static final long LONGEST_MILLIS = 86_400_000;
+
+	private static final long MOST_BYTES = 1L << 40;
+
+	private static final int MOST_SHARDS = 1_000;
+
+	private final Findings findings;
+
+	public SettingsReader(Findings findings) {
+		this.findings = findings;
+	}
+
+	/**
+	 * Reads the settings.
+	 * @param options the flags, with variables already applied
+	 * @param environment the environment variables
+	 * @return the settings, or null if anything was found
+	 */
+	public Settings read(Options options, Map<String, String> environment) {
+		InstanceId instance = identifier("--instance", options.instance(), InstanceId::of);
+		AvailabilityZone zone = identifier("--zone", options.zone(), AvailabilityZone::of);
+		String logAddress = address("--log-address", options.logAddress());
+		String listAddress = address("--list-address", options.listAddress());
+		String peerKey = secret(PEER_KEY, environment);
+		String operatorToken = secret(OPERATOR_TOKEN, environment);
+		int httpPort = (int) number("--http-port", options.httpPort(), 0, HIGHEST_PORT);
+		int peerPort = (int) number("--peer-port", options.peerPort(), 0, HIGHEST_PORT);
+		int shards = (int) number("--shards-per-zone", options.shardsPerZone(), 1, MOST_SHARDS);
+		long failure = millis("--failure-timeout-ms", options.failureTimeoutMillis());
+		long settle = millis("--settle-ms", options.settleMillis());
+		int floor = (int) number("--ramp-floor", options.rampFloor(), 1, MOST_SHARDS);
+		long hold = millis("--ramp-hold-ms", options.rampHoldMillis());
+		long step = millis("--ramp-step-ms", options.rampStepMillis());
+		long budget = number("--body-budget-bytes", options.bodyBudgetBytes(), 1, MOST_BYTES);
+		long drain = millis("--drain-ms", options.drainMillis());
+		if (!options.logFormat().equals("human") && !options.logFormat().equals("json")) {
+			invalid("--log-format", "must be human or json", options.logFormat());
+		}
+		if (!this.findings.isEmpty()) {
+			return null;
+		}
+		return new Settings(instance, zone, options.host(), httpPort, peerPort, logAddress, listAddress, peerKey,
+				operatorToken, shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), budget, drain);
+	}
+
+	private <T> T identifier(String flag, String value, Function<String, T> parser) {
+		try {
+			return parser.apply(value);
+		}
+		catch (PoplarloomException ex) {
+			this.findings.add(flag, ex.code(), ex.getMessage());
+			return null;
+		}
+	}
+
+	private String address(String flag, String value) {
+		int colon = value.lastIndexOf(':');
+		boolean isValid = colon > 0 && isPort(value.substring(colon + 1));
+		if (!isValid) {
+			invalid(flag, "must be a host and port such as 10.0.0.1:9000", value);
+		}
+		return value;
+	}
+
+	private static boolean isPort(String text) {
+		try {
+			int port = Integer.parseInt(text);
+			return port > 0 && port <= HIGHEST_PORT;
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
+	}
+
+	private String secret(String variable, Map<String, String> environment) {
+		String value = environment.getOrDefault(variable, "");
+		if (value.length() < SHORTEST_SECRET) {
+			this.findings.add("environment " + variable, ErrorCode.INVALID_SETTING,
+					"must have at least " + SHORTEST_SECRET + " characters, but has " + value.length());
+		}
+		return value;
+	}
+
+	private long millis(String flag, String value) {
+		return number(flag, value, 1, LONGEST_MILLIS);
+	}
+
+	private long number(String flag, String value, long lowest, long highest) {
+		try {
+			long number = Long.parseLong(value);
+			if (number >= lowest && number <= highest) {
+				return number;
+			}
+		}
+		catch (NumberFormatException ex) {
+			// reported below with the same text as a number out of range
+		}
+		invalid(flag, "must be a number from " + lowest + " to " + highest, value);
+		return lowest;
+	}
+
+	private void invalid(String flag, String message, String value) {
+		this.findings.add(flag, ErrorCode.INVALID_SETTING, message + ", but was '" + value + "'");
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatFormat.java
@@ -0,0 +1,54 @@
+package org.poplarloom.entry.http;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+
+import org.poplarloom.entry.request.ChatRequest;
+import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+
+/**
+ * Writes answers in the chat completions form.
+ * <p>
+ * This class is immutable and thread-safe.
+ */
+final class ChatFormat {
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+
+	private final String head;
+
+	private final String wholeHead;
+
+	ChatFormat(ChatRequest request, long nowMillis) {
+		String rest = "\",\"created\":" + nowMillis / MILLIS_PER_SECOND + ",\"model\":\""
+				+ escape(request.shape().model()) + "\",";
+		this.head = "{\"id\":\"" + request.id() + "\",\"object\":\"chat.completion.chunk" + rest;
+		this.wholeHead = "{\"id\":\"" + request.id() + "\",\"object\":\"chat.completion" + rest;
+	}
+
+	String chunk(EngineEvent event) {
+		if (event.finish() != null) {
+			return this.head + "\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"" + escape(event.finish())
+					+ "\"}]," + usage(event) + "}";
+		}
+		String role = (event.position() == 0) ? "\"role\":\"assistant\"," : "";
+		return this.head + "\"choices\":[{\"index\":0,\"delta\":{" + role + "\"content\":\"" + escape(event.text())
+				+ "\"},\"finish_reason\":null}]}";
+	}
+
+	String whole(String text, EngineEvent last) {
+		return this.wholeHead + "\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":\""
+				+ escape(text) + "\"},\"finish_reason\":\"" + escape(last.finish()) + "\"}]," + usage(last) + "}";
+	}
+
+	private static String usage(EngineEvent last) {
+		return "\"usage\":{\"prompt_tokens\":" + last.promptTokens() + ",\"completion_tokens\":" + last.answerTokens()
+				+ ",\"total_tokens\":" + (last.promptTokens() + last.answerTokens()) + "}";
+	}
+
+	private static String escape(String text) {
+		return String.valueOf(ENCODER.quoteAsString(text));
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon's command line and settings.
+ */
+package org.poplarloom.entry;
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClusterStatus.java
@@ -0,0 +1,79 @@
+package org.poplarloom.entry.process;
+
+import java.time.Duration;
+import java.util.List;
+
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.process.Member;
+import org.poplarloom.core.version.ZoneOrder;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * Asks all live instances which configuration is in force.
+ * <p>
+ * This class is thread-safe.
+ */
+public final class ClusterStatus {
+
+	private static final Duration TIMEOUT = Duration.ofMillis(1_000);
+
+	private final Node node;
+
+	public ClusterStatus(Node node) {
+		this.node = node;
+	}
+
+	/**
+	 * Asks all live instances.
+	 * @return one line per instance in ascending order; an instance that does not answer
+	 * has the offset {@link InstanceLine#NO_ANSWER}
+	 */
+	public Mono<List<InstanceLine>> instances() {
+		return Flux.fromIterable(this.node.membership().allLive(this.node.clock().nowMillis()))
+			.flatMapSequential(this::ask)
+			.collectList();
+	}
+
+	private Mono<InstanceLine> ask(Member member) {
+		return Mono.fromFuture(
+				() -> this.node.request(member.id(), member.address(), new Message.VersionAsk(), TIMEOUT.toMillis()))
+			.map((reply) -> line(member, reply))
+			.onErrorReturn(new InstanceLine(member.id().value(), member.zone().value(), InstanceLine.NO_ANSWER, "",
+					List.of(), 0));
+	}
+
+	private static InstanceLine line(Member member, Message reply) {
+		Message.VersionGiven version = (Message.VersionGiven) reply;
+		return new InstanceLine(member.id().value(), member.zone().value(), version.offset(),
+				Long.toHexString(version.digest()), version.orderIds(), version.grants());
+	}
+
+	/**
+	 * Returns the zone orders that the log does not hold yet.
+	 * @return the orders known here
+	 */
+	public List<ZoneOrder> unconfirmedOrders() {
+		return this.node.keeper().state().unconfirmedOrders();
+	}
+
+	/**
+	 * What one instance has in force.
+	 *
+	 * @param instance the instance
+	 * @param zone its zone
+	 * @param offset the configuration's offset
+	 * @param digest the configuration's digest in hexadecimal
+	 * @param orderIds the ids of unconfirmed zone orders
+	 * @param grants the number of requests in progress
+	 */
+	public record InstanceLine(String instance, String zone, long offset, String digest, List<String> orderIds,
+			int grants) {
+
+		/** The offset shown for an instance that does not answer. */
+		public static final long NO_ANSWER = -9;
+
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -0,0 +1,155 @@
+package org.poplarloom.entry.process;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.request.ChatService;
+import org.poplarloom.entry.request.EntryMetrics;
+import org.poplarloom.entry.request.Limits;
+import org.poplarloom.entry.version.ConfigurationPublisher;
+
+/**
+ * One running instance: the node and its HTTP server.
+ * <p>
+ * After a graceful stop no request that was admitted has been cut off before the drain
+ * time ended. This class is thread-safe.
+ */
+public final class Daemon implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(Daemon.class);
+
+	private static final int LARGEST_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final long LIMITS_MILLIS = 500;
+
+	private static final long DRAIN_POLL_MILLIS = 50;
+
+	private static final long LEAVE_NOTICE_MILLIS = 1_500;
+
+	private final Settings settings;
+
+	private final Node node;
+
+	private ApplicationContext context;
+
+	private EmbeddedServer server;
+
+	private volatile boolean stopping;
+
+	private Daemon(Settings settings) {
+		this.settings = settings;
+		this.node = new Node(settings);
+	}
+
+	/**
+	 * Starts a daemon.
+	 * @param settings the settings
+	 * @return the daemon, which accepts requests
+	 */
+	public static Daemon start(Settings settings) {
+		Daemon daemon = new Daemon(settings);
+		daemon.start();
+		return daemon;
+	}
+
+	private void start() {
+		this.node.start();
+		EntryMetrics metrics = new EntryMetrics();
+		Limits limits = new Limits(this.node);
+		this.node.every(LIMITS_MILLIS, limits::tick);
+		ConfigurationPublisher publisher = new ConfigurationPublisher(this.node.log(), this.node.keeper());
+		Map<String, Object> properties = new HashMap<>();
+		properties.put("micronaut.server.host", this.settings.host());
+		properties.put("micronaut.server.port", (this.settings.httpPort() == 0) ? -1 : this.settings.httpPort());
+		properties.put("micronaut.server.max-request-size", LARGEST_BODY_BYTES);
+		properties.put("micronaut.server.idle-timeout", "60s");
+		properties.put("micronaut.http.client.read-timeout", "60s");
+		this.context = ApplicationContext.builder()
+			.properties(properties)
+			.singletons(this, this.node, metrics, limits, new ChatService(this.node, limits, metrics), publisher)
+			.banner(false)
+			.start();
+		this.server = this.context.getBean(EmbeddedServer.class).start();
+		logger.info("instance {} in zone {} serves callers at {}", this.settings.instance(), this.settings.zone(),
+				url());
+	}
+
+	/**
+	 * Returns the URL for callers.
+	 * @return the URL without a trailing slash
+	 */
+	public String url() {
+		return "http://" + this.settings.host() + ":" + this.server.getPort();
+	}
+
+	/**
+	 * Returns the address for peers.
+	 * @return the host and port
+	 */
+	public String peerAddress() {
+		return this.node.membership().self().address();
+	}
+
+	/**
+	 * Returns the node.
+	 * @return the node
+	 */
+	public Node node() {
+		return this.node;
+	}
+
+	/**
+	 * Says why callers should not be sent here.
+	 * @return the reason, empty if the instance is ready
+	 */
+	public String notReadyReason() {
+		if (this.stopping) {
+			return "shutting down";
+		}
+		return this.node.keeper().isLoaded() ? "" : "no configuration has been learnt";
+	}
+
+	/**
+	 * Stops after all requests in progress have ended or the drain time is over.
+	 */
+	public void stopGracefully() {
+		this.stopping = true;
+		this.node.membership().leave();
+		this.node.gossiper().spreadUrgently();
+		long end = this.node.clock().nowMillis() + this.settings.drainMillis();
+		long earliest = this.node.clock().nowMillis() + LEAVE_NOTICE_MILLIS;
+		while (this.node.clock().nowMillis() < end) {
+			boolean isIdle = this.node.grants().heldCount() == 0;
+			if (isIdle && this.node.clock().nowMillis() >= earliest) {
+				break;
+			}
+			pause();
+		}
+		close();
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(DRAIN_POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.stopping = true;
+		if (this.context != null) {
+			this.context.close();
+		}
+		this.node.close();
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -0,0 +1,337 @@
+package org.poplarloom.entry.process;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.process.CrashRegister;
+import org.poplarloom.core.process.Member;
+import org.poplarloom.core.process.MembershipTable;
+import org.poplarloom.core.process.UsageBook;
+import org.poplarloom.core.version.Documents;
+import org.poplarloom.core.version.ZoneOrder;
+import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.request.GrantClient;
+import org.poplarloom.entry.version.ConfigurationKeeper;
+import org.poplarloom.entry.version.LogFollower;
+import org.poplarloom.platform.http.HttpEndpoint;
+import org.poplarloom.platform.http.HttpInstanceList;
+import org.poplarloom.platform.http.HttpLog;
+import org.poplarloom.platform.http.HttpService;
+import org.poplarloom.platform.http.PlatformClient;
+import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.wire.connection.PeerHandler;
+import org.poplarloom.wire.connection.PeerKey;
+import org.poplarloom.wire.message.Message;
+import org.poplarloom.wire.process.PeerNetwork;
+
+/**
+ * The tables and loops that an instance has while its process lives.
+ * <p>
+ * Locks are taken in this order: configuration keeper, shard home, membership table,
+ * limiters and books; nobody takes an earlier one while holding a later one. This class
+ * is thread-safe.
+ */
+public final class Node implements AutoCloseable, PeerHandler, Peers {
+
+	private static final Logger logger = LoggerFactory.getLogger(Node.class);
+
+	private static final long GOSSIP_MILLIS = 500;
+
+	private static final long HOME_TICK_MILLIS = 50;
+
+	private static final long POLL_MILLIS = 500;
+
+	private static final long LIST_MILLIS = 1_000;
+
+	private static final long CRASH_RETENTION_MILLIS = 600_000;
+
+	private static final long ACCOUNTING_PERIOD_MILLIS = 3_600_000;
+
+	private static final int LOOP_THREADS = 2;
+
+	private final Settings settings;
+
+	private final Clock clock = Clock.SYSTEM;
+
+	private final ScheduledExecutorService loops = Executors.newScheduledThreadPool(LOOP_THREADS, (task) -> {
+		Thread thread = new Thread(task, "loop");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final Scheduler scheduler = Schedulers.fromExecutor(this.loops);
+
+	private final PlatformClient client = PlatformClient.create();
+
+	private final LogPort log;
+
+	private final HttpEndpoint endpoints;
+
+	private final HttpService services;
+
+	private final PeerNetwork network;
+
+	private final ConfigurationKeeper keeper = new ConfigurationKeeper();
+
+	private final CrashRegister crashes = CrashRegister.of(CRASH_RETENTION_MILLIS);
+
+	private final UsageBook book = UsageBook.of(ACCOUNTING_PERIOD_MILLIS);
+
+	private final LogFollower follower;
+
+	private final EndpointDirectory directory;
+
+	private MembershipTable membership;
+
+	private HomeTable homes;
+
+	private HomeSelector selector;
+
+	private GrantClient grants;
+
+	private Gossiper gossiper;
+
+	public Node(Settings settings) {
+		this.settings = settings;
+		this.log = new HttpLog(this.client, settings.logAddress());
+		this.endpoints = new HttpEndpoint(this.client);
+		this.services = new HttpService(this.client);
+		this.directory = new EndpointDirectory(new HttpInstanceList(this.client, settings.listAddress()),
+				this.endpoints);
+		this.network = new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), this);
+		this.follower = new LogFollower(this.log, this.keeper, this.scheduler);
+	}
+
+	/**
+	 * Starts to listen to peers and to run the loops.
+	 */
+	public void start() {
+		int port = this.network.listen(this.settings.host(), this.settings.peerPort());
+		Member self = new Member(this.settings.instance(), this.settings.zone(), this.settings.host() + ":" + port,
+				this.clock.nowMillis(), 0, false);
+		this.membership = MembershipTable.of(self, this.settings.failureTimeoutMillis());
+		this.homes = new HomeTable(this.settings, this.membership, this.directory, this.keeper, this.clock);
+		this.selector = new HomeSelector(this.settings, this.membership, this.keeper, this.clock);
+		this.grants = new GrantClient(this.selector, this, this.clock);
+		this.gossiper = new Gossiper(this.settings, this.membership, this.keeper, this.crashes, this.directory,
+				this.homes, this, this.clock);
+		this.follower.start();
+		every(GOSSIP_MILLIS, this.gossiper::tick);
+		every(HOME_TICK_MILLIS, this.homes::tick);
+		every(HOME_TICK_MILLIS, this.grants::followHomes);
+		every(POLL_MILLIS, () -> this.homes.poll().subscribe());
+		every(LIST_MILLIS, () -> this.directory.refresh().subscribe());
+	}
+
+	/**
+	 * Runs a task again and again until the node closes.
+	 * @param periodMillis the time between two runs in milliseconds
+	 * @param task the task
+	 */
+	public void every(long periodMillis, Runnable task) {
+		this.loops.scheduleWithFixedDelay(() -> runSafely(task), 0, periodMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private static void runSafely(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			logger.error("loop failed", ex);
+		}
+	}
+
+	@Override
+	public void send(InstanceId instance, String address, Message message) {
+		if (instance.equals(this.settings.instance())) {
+			this.handle(instance, message, (reply) -> {
+			});
+			return;
+		}
+		this.network.send(address, message);
+	}
+
+	@Override
+	public CompletableFuture<Message> request(InstanceId instance, String address, Message message,
+			long timeoutMillis) {
+		if (!instance.equals(this.settings.instance())) {
+			return this.network.request(address, message, timeoutMillis);
+		}
+		CompletableFuture<Message> reply = new CompletableFuture<>();
+		this.handle(instance, message, reply::complete);
+		return reply.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void handle(InstanceId peer, Message message, Consumer<Message> reply) {
+		if (this.gossiper == null) {
+			return;
+		}
+		if (message instanceof Message.Gossip gossip) {
+			this.gossiper.receive(gossip);
+		}
+		else if (message instanceof Message.GrantAsk ask) {
+			this.homes.ask(peer, ask.shard(), ask.request(), reply);
+		}
+		else if (message instanceof Message.FirstToken first) {
+			this.homes.firstToken(first.shard(), first.key());
+		}
+		else if (message instanceof Message.Release release) {
+			this.homes.release(release.shard(), release.key(), release.failedEndpoint());
+		}
+		else if (message instanceof Message.Announce announce) {
+			this.homes.announce(peer, announce.shard(), announce.grants());
+		}
+		else if (message instanceof Message.VersionAsk) {
+			reply.accept(version());
+		}
+		else if (message instanceof Message.ConfigurationFetch) {
+			reply.accept(new Message.ConfigurationContent(Documents.write(this.keeper.configuration().toSnapshot())));
+		}
+	}
+
+	private Message version() {
+		List<String> orders = this.keeper.state().unconfirmedOrders().stream().map(ZoneOrder::id).toList();
+		return new Message.VersionGiven(this.keeper.configuration().offset(), this.keeper.configuration().digest(),
+				orders, this.grants.heldCount());
+	}
+
+	/**
+	 * Returns the settings.
+	 * @return the settings
+	 */
+	public Settings settings() {
+		return this.settings;
+	}
+
+	/**
+	 * Returns the clock.
+	 * @return the clock
+	 */
+	public Clock clock() {
+		return this.clock;
+	}
+
+	/**
+	 * Returns the log.
+	 * @return the log
+	 */
+	public LogPort log() {
+		return this.log;
+	}
+
+	/**
+	 * Returns the follower of the configuration stream.
+	 * @return the follower
+	 */
+	public LogFollower follower() {
+		return this.follower;
+	}
+
+	/**
+	 * Returns the keeper of the configuration.
+	 * @return the keeper
+	 */
+	public ConfigurationKeeper keeper() {
+		return this.keeper;
+	}
+
+	/**
+	 * Returns the members that are known.
+	 * @return the table
+	 */
+	public MembershipTable membership() {
+		return this.membership;
+	}
+
+	/**
+	 * Returns the endpoints that are known.
+	 * @return the directory
+	 */
+	public EndpointDirectory directory() {
+		return this.directory;
+	}
+
+	/**
+	 * Returns the own shards.
+	 * @return the table
+	 */
+	public HomeTable homes() {
+		return this.homes;
+	}
+
+	/**
+	 * Returns the client of the homes.
+	 * @return the client
+	 */
+	public GrantClient grants() {
+		return this.grants;
+	}
+
+	/**
+	 * Returns the gossip loop.
+	 * @return the loop
+	 */
+	public Gossiper gossiper() {
+		return this.gossiper;
+	}
+
+	/**
+	 * Returns the crashes that are known.
+	 * @return the register
+	 */
+	public CrashRegister crashes() {
+		return this.crashes;
+	}
+
+	/**
+	 * Returns what this instance's callers used.
+	 * @return the book
+	 */
+	public UsageBook book() {
+		return this.book;
+	}
+
+	/**
+	 * Returns the port to model engines.
+	 * @return the port
+	 */
+	public HttpEndpoint endpoints() {
+		return this.endpoints;
+	}
+
+	/**
+	 * Returns the port to plain services.
+	 * @return the port
+	 */
+	public HttpService services() {
+		return this.services;
+	}
+
+	/**
+	 * Returns the connections to peers.
+	 * @return the network
+	 */
+	public PeerNetwork network() {
+		return this.network;
+	}
+
+	@Override
+	public void close() {
+		this.follower.close();
+		this.loops.shutdownNow();
+		this.network.close();
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives as long as the daemon: homes, grants, gossip, books.
+ */
+package org.poplarloom.entry.process;
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Fingerprint.java
@@ -0,0 +1,47 @@
+package org.poplarloom.entry.request;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Hashes that identify keys and contents.
+ * <p>
+ * This class has no state and is thread-safe.
+ */
+public final class Fingerprint {
+
+	private static final int CONTENT_CHARACTERS = 32;
+
+	private Fingerprint() {
+	}
+
+	/**
+	 * Returns the hash of a caller's key, as contracts hold it.
+	 * @param key the key
+	 * @return lower-case hexadecimal SHA-256
+	 */
+	public static String ofKey(String key) {
+		return HexFormat.of().formatHex(sha256().digest(key.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	/**
+	 * Returns the hash of a request's content.
+	 * @param body the content
+	 * @return the first half of the hexadecimal SHA-256
+	 */
+	public static String of(byte[] body) {
+		return HexFormat.of().formatHex(sha256().digest(body)).substring(0, CONTENT_CHARACTERS);
+	}
+
+	private static MessageDigest sha256() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -0,0 +1,218 @@
+package org.poplarloom.entry.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.ShardId;
+import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.entry.process.Clock;
+import org.poplarloom.entry.process.HomeSelector;
+import org.poplarloom.entry.process.Peers;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * Gets grants from homes, gives them back and tells new homes about them.
+ * <p>
+ * A request that waits at a home that is no longer the home asks again. Every grant is
+ * released exactly once. This class is thread-safe.
+ */
+public final class GrantClient {
+
+	private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+
+	private static final long LONGEST_SEARCH_MILLIS = 15_000;
+
+	private static final long SHORTEST_WAIT_MILLIS = 1;
+
+	private final HomeSelector selector;
+
+	private final Peers peers;
+
+	private final Clock clock;
+
+	private final Map<String, HeldGrant> held = new ConcurrentHashMap<>();
+
+	private final Map<String, PendingAsk> pending = new ConcurrentHashMap<>();
+
+	public GrantClient(HomeSelector selector, Peers peers, Clock clock) {
+		this.selector = selector;
+		this.peers = peers;
+		this.clock = clock;
+	}
+
+	/**
+	 * Gets a grant from the best home that gives one.
+	 * @param request the request
+	 * @return the grant, or an error that says why no home gives one
+	 */
+	public Mono<HeldGrant> acquire(GrantRequest request) {
+		return Mono.defer(() -> search(request, new Search(this.clock.nowMillis())));
+	}
+
+	private Mono<HeldGrant> search(GrantRequest request, Search search) {
+		Optional<ShardStatus> chosen = this.selector.choose(search.refused);
+		if (chosen.isPresent()) {
+			return ask(request, chosen.get(), search);
+		}
+		long now = this.clock.nowMillis();
+		boolean isOver = now >= request.deadlineMillis() || now - search.startedMillis >= LONGEST_SEARCH_MILLIS;
+		if (isOver || search.isFinal()) {
+			ErrorCode code = (search.refusal != null) ? search.refusal : ErrorCode.NO_ENDPOINT;
+			return Mono.error(new PoplarloomException(code, org.poplarloom.core.Executed.NO,
+					"no home gives a grant: " + code.text(), search.retryAfterMillis));
+		}
+		search.startRound();
+		return Mono.delay(RETRY_DELAY).then(Mono.defer(() -> search(request, search)));
+	}
+
+	private Mono<HeldGrant> ask(GrantRequest request, ShardStatus home, Search search) {
+		long waitMillis = Math.max(SHORTEST_WAIT_MILLIS, request.deadlineMillis() - this.clock.nowMillis());
+		CompletableFuture<Message> reply = this.peers.request(home.home(), home.address(),
+				new Message.GrantAsk(home.shard(), request), waitMillis);
+		PendingAsk ask = new PendingAsk(home, reply);
+		this.pending.put(request.key(), ask);
+		return Mono.fromFuture(reply)
+			.onErrorResume((failure) -> Mono.just(new Message.GrantDenied(ErrorCode.NOT_HOME, 0)))
+			.doFinally((signal) -> this.pending.remove(request.key(), ask))
+			.doOnCancel(() -> withdraw(home, request.key()))
+			.flatMap((message) -> decide(request, home, search, message));
+	}
+
+	private Mono<HeldGrant> decide(GrantRequest request, ShardStatus home, Search search, Message message) {
+		if (message instanceof Message.GrantGiven given) {
+			HeldGrant grant = new HeldGrant(home, given.grant(), given.addresses(), given.bootIds());
+			this.held.put(request.key(), grant);
+			return Mono.just(grant);
+		}
+		ErrorCode code = (message instanceof Message.GrantDenied denied) ? denied.code() : ErrorCode.INTERNAL;
+		if (code == ErrorCode.DEADLINE_EXCEEDED) {
+			return Mono.error(new PoplarloomException(code, "the deadline passed before an endpoint was free"));
+		}
+		search.refuse(home.shard(), code, message);
+		return search(request, search);
+	}
+
+	private void withdraw(ShardStatus home, String key) {
+		this.peers.send(home.home(), home.address(), new Message.Release(home.shard(), key, null));
+	}
+
+	/**
+	 * Tells the home that the first token has arrived.
+	 * @param grant the grant
+	 */
+	public void firstToken(HeldGrant grant) {
+		HeldGrant current = this.held.getOrDefault(grant.grant().key(), grant);
+		ShardStatus home = current.home();
+		this.peers.send(home.home(), home.address(), new Message.FirstToken(home.shard(), grant.grant().key()));
+	}
+
+	/**
+	 * Gives a grant back.
+	 * @param grant the grant; releasing it again does nothing
+	 * @param failedEndpoint the endpoint whose process failed, or null
+	 */
+	public void release(HeldGrant grant, EndpointId failedEndpoint) {
+		HeldGrant current = this.held.remove(grant.grant().key());
+		if (current != null) {
+			ShardStatus home = current.home();
+			this.peers.send(home.home(), home.address(),
+					new Message.Release(home.shard(), grant.grant().key(), failedEndpoint));
+		}
+	}
+
+	/**
+	 * Follows changes of home: waiting requests ask again and grants are announced.
+	 */
+	public void followHomes() {
+		for (PendingAsk ask : this.pending.values()) {
+			if (hasMoved(ask.home())) {
+				ask.reply().completeExceptionally(new PoplarloomException(ErrorCode.NOT_HOME, "home has moved"));
+			}
+		}
+		Map<ShardId, List<Grant>> moved = new HashMap<>();
+		for (HeldGrant grant : this.held.values()) {
+			Optional<ShardStatus> current = this.selector.current(grant.home().shard());
+			if (current.isPresent() && !current.get().home().equals(grant.home().home())) {
+				this.held.computeIfPresent(grant.grant().key(), (key, value) -> value.withHome(current.get()));
+				moved.computeIfAbsent(grant.home().shard(), (key) -> new ArrayList<>()).add(grant.grant());
+			}
+		}
+		moved.forEach((shard, grants) -> this.selector.current(shard)
+			.ifPresent((home) -> this.peers.send(home.home(), home.address(), new Message.Announce(shard, grants))));
+	}
+
+	private boolean hasMoved(ShardStatus home) {
+		return this.selector.current(home.shard()).map((current) -> !current.home().equals(home.home())).orElse(true);
+	}
+
+	/**
+	 * Returns the number of grants in use.
+	 * @return a number from 0
+	 */
+	public int heldCount() {
+		return this.held.size();
+	}
+
+	/**
+	 * A request that waits for a home's decision.
+	 */
+	private record PendingAsk(ShardStatus home, CompletableFuture<Message> reply) {
+	}
+
+	/**
+	 * The progress of one search for a grant.
+	 */
+	private static final class Search {
+
+		private final long startedMillis;
+
+		private final Set<ShardId> refused = new HashSet<>();
+
+		private ErrorCode refusal;
+
+		private long retryAfterMillis;
+
+		private boolean sawMovingHome;
+
+		Search(long startedMillis) {
+			this.startedMillis = startedMillis;
+		}
+
+		void refuse(ShardId shard, ErrorCode code, Message message) {
+			this.refused.add(shard);
+			this.sawMovingHome |= code == ErrorCode.NOT_HOME || code == ErrorCode.ZONE_OUT;
+			if (this.refusal == null || code != ErrorCode.NOT_HOME) {
+				this.refusal = code;
+			}
+			if (message instanceof Message.GrantDenied denied) {
+				this.retryAfterMillis = denied.retryAfterMillis();
+			}
+		}
+
+		boolean isFinal() {
+			return !this.refused.isEmpty() && !this.sawMovingHome;
+		}
+
+		void startRound() {
+			this.refused.clear();
+			this.sawMovingHome = false;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Limits.java
@@ -0,0 +1,70 @@
+package org.poplarloom.entry.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.poplarloom.core.TeamId;
+import org.poplarloom.core.process.RetryBudget;
+import org.poplarloom.core.process.TeamLimiter;
+import org.poplarloom.core.version.ConfigurationState;
+import org.poplarloom.core.version.Contract;
+import org.poplarloom.entry.process.Node;
+
+/**
+ * The limiters and retry budgets of all teams.
+ * <p>
+ * Each live instance gets an equal share of a contract. This class is thread-safe.
+ */
+public final class Limits {
+
+	private final Node node;
+
+	private final Map<TeamId, TeamLimiter> limiters = new ConcurrentHashMap<>();
+
+	private final Map<TeamId, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+	private volatile double share = 1;
+
+	public Limits(Node node) {
+		this.node = node;
+		node.keeper().listen(this::apply);
+	}
+
+	private void apply(ConfigurationState state) {
+		long now = this.node.clock().nowMillis();
+		this.limiters.forEach((team, limiter) -> state.configuration()
+			.contract(team)
+			.ifPresent((contract) -> limiter.update(contract, this.share, now)));
+	}
+
+	/**
+	 * Follows the number of live instances.
+	 */
+	public void tick() {
+		double next = 1.0 / this.node.membership().allLive(this.node.clock().nowMillis()).size();
+		if (next != this.share) {
+			this.share = next;
+			apply(this.node.keeper().state());
+		}
+	}
+
+	/**
+	 * Returns the limiter of a team.
+	 * @param contract the team's contract
+	 * @return the limiter
+	 */
+	public TeamLimiter limiter(Contract contract) {
+		return this.limiters.computeIfAbsent(contract.team(),
+				(team) -> TeamLimiter.of(contract, this.share, this.node.clock().nowMillis()));
+	}
+
+	/**
+	 * Returns the retry budget of a team.
+	 * @param team the team
+	 * @return the budget
+	 */
+	public RetryBudget retryBudget(TeamId team) {
+		return this.budgets.computeIfAbsent(team, (key) -> new RetryBudget());
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives for one request in the daemon: admission, attempts, orders.
+ */
+package org.poplarloom.entry.request;
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How the daemon learns, keeps and spreads configuration versions.
+ */
+package org.poplarloom.entry.version;
--- /dev/null
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpEndpoint.java
@@ -0,0 +1,93 @@
+package org.poplarloom.platform.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.EndpointReport;
+import org.poplarloom.platform.port.EndpointPort;
+
+/**
+ * Reaches model engines over HTTP.
+ * <p>
+ * This class is thread-safe.
+ */
+public final class HttpEndpoint implements EndpointPort {
+
+	private static final Duration TIMEOUT = Duration.ofMillis(1_500);
+
+	private final PlatformClient client;
+
+	public HttpEndpoint(PlatformClient client) {
+		this.client = client;
+	}
+
+	@Override
+	public Publisher<EndpointReport> report(String address) {
+		return this.client.getJson(PlatformClient.uri(address, "/load"), Load.class, TIMEOUT).map(Load::toReport);
+	}
+
+	@Override
+	public Publisher<EngineEvent> generate(String address, EngineCall call) {
+		HttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, "/v1/chat/completions"), call.body())
+			.contentType(MediaType.APPLICATION_JSON_TYPE)
+			.header("X-Request-Id", call.requestId())
+			.header("X-Attempt", Integer.toString(call.attempt()))
+			.header("X-Priority", Integer.toString(call.priority()))
+			.header("X-Fence", Long.toString(call.fence()))
+			.header("X-Seed", Integer.toString(call.requestId().hashCode()))
+			.header("X-Resume-From", Long.toString(call.resumeFrom()));
+		EventLines lines = new EventLines();
+		return this.client.stream(request).concatMapIterable(lines::add).onErrorMap(HttpEndpoint::failed);
+	}
+
+	private static Throwable failed(Throwable cause) {
+		if (cause instanceof PoplarloomException) {
+			return cause;
+		}
+		if (cause instanceof HttpClientResponseException refused && refused.getStatus() == HttpStatus.CONFLICT) {
+			return new PoplarloomException(ErrorCode.NOT_HOME, "endpoint refused an old fence number");
+		}
+		return new PoplarloomException(ErrorCode.ENDPOINT_FAILED, Executed.UNKNOWN, "endpoint: " + cause.getMessage());
+	}
+
+	@Override
+	public Publisher<Boolean> cancel(String address, String key) {
+		HttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, "/cancel/" + key), new byte[0]);
+		return this.client.exchange(request).timeout(TIMEOUT).map((response) -> true);
+	}
+
+	@Override
+	public Publisher<Boolean> order(String address, long fence, String order) {
+		HttpRequest<byte[]> request = HttpRequest
+			.POST(PlatformClient.uri(address, "/orders"), order.getBytes(StandardCharsets.UTF_8))
+			.contentType(MediaType.APPLICATION_JSON_TYPE)
+			.header("X-Fence", Long.toString(fence));
+		return Flux.from(this.client.exchange(request)).timeout(TIMEOUT).map((response) -> true);
+	}
+
+	/**
+	 * An engine's load report as it is sent.
+	 */
+	record Load(EndpointId endpoint, String bootId, boolean isLeaving, Set<String> models, int slots, long kvTokens,
+			double prefillTokensPerSecond, long highestFence, long uptimeMillis) {
+
+		EndpointReport toReport() {
+			return new EndpointReport(this.endpoint, this.bootId, this.isLeaving, this.models, this.slots,
+					this.kvTokens, this.prefillTokensPerSecond, this.highestFence, this.uptimeMillis);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpService.java
@@ -0,0 +1,60 @@
+package org.poplarloom.platform.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.exceptions.HttpClientException;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.platform.port.ServicePort;
+
+/**
+ * Calls plain services over HTTP.
+ * <p>
+ * A call is sent at most once. This class is thread-safe.
+ */
+public final class HttpService implements ServicePort {
+
+	private final PlatformClient client;
+
+	public HttpService(PlatformClient client) {
+		this.client = client;
+	}
+
+	@Override
+	public Publisher<ServiceAnswer> call(String address, ServiceCall call) {
+		MutableHttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, call.path()), call.body())
+			.contentType(MediaType.of(call.contentType()));
+		if (!call.idempotencyKey().isEmpty()) {
+			request.header("Idempotency-Key", call.idempotencyKey());
+		}
+		return this.client.exchange(request).map(HttpService::answer).onErrorResume(HttpService::failed);
+	}
+
+	private static ServiceAnswer answer(HttpResponse<byte[]> response) {
+		String type = response.getContentType().map(MediaType::toString).orElse(MediaType.APPLICATION_JSON);
+		byte[] body = response.getBody().orElse(new byte[0]);
+		return new ServiceAnswer(response.code(), type, new String(body, StandardCharsets.UTF_8));
+	}
+
+	private static Mono<ServiceAnswer> failed(Throwable cause) {
+		if (cause instanceof HttpClientResponseException answered) {
+			String body = answered.getResponse().getBody(String.class).orElse("");
+			return Mono.just(new ServiceAnswer(answered.getStatus().getCode(), MediaType.APPLICATION_JSON, body));
+		}
+		boolean isUnsent = cause instanceof HttpClientException
+				&& cause.getCause() instanceof java.net.ConnectException;
+		Executed executed = isUnsent ? Executed.NO : Executed.UNKNOWN;
+		return Mono
+			.error(new PoplarloomException(ErrorCode.ENDPOINT_FAILED, executed, "service: " + cause.getMessage()));
+	}
+
+}
--- /dev/null
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/PlatformClient.java
@@ -0,0 +1,72 @@
+package org.poplarloom.platform.http;
+
+import java.net.URI;
+import java.time.Duration;
+
+import io.micronaut.core.io.buffer.ByteBuffer;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.StreamingHttpClient;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.version.Documents;
+
+/**
+ * The HTTP client that all adapters share.
+ * <p>
+ * Connections are kept and reused per address. This class is thread-safe.
+ */
+public final class PlatformClient implements AutoCloseable {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+
+	private static final int LARGEST_ANSWER_BYTES = 64 * 1024 * 1024;
+
+	private final StreamingHttpClient client;
+
+	private PlatformClient(StreamingHttpClient client) {
+		this.client = client;
+	}
+
+	/**
+	 * Returns a client without open connections.
+	 * @return the client
+	 */
+	public static PlatformClient create() {
+		DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+		configuration.setConnectTimeout(CONNECT_TIMEOUT);
+		configuration.setReadTimeout(null);
+		configuration.setReadIdleTimeout(null);
+		configuration.setMaxContentLength(LARGEST_ANSWER_BYTES);
+		configuration.setFollowRedirects(false);
+		return new PlatformClient(StreamingHttpClient.create(null, configuration));
+	}
+
+	static URI uri(String address, String path) {
+		return URI.create("http://" + address + path);
+	}
+
+	<T> Mono<T> getJson(URI uri, Class<T> type, Duration timeout) {
+		return Mono.from(this.client.retrieve(HttpRequest.GET(uri), String.class))
+			.timeout(timeout)
+			.map((text) -> Documents.read(text, type));
+	}
+
+	Mono<HttpResponse<byte[]>> exchange(HttpRequest<?> request) {
+		return Mono.from(this.client.exchange(request, byte[].class));
+	}
+
+	Flux<byte[]> stream(HttpRequest<?> request) {
+		Publisher<ByteBuffer<?>> publisher = this.client.dataStream(request);
+		return Flux.from(publisher).map(ByteBuffer::toByteArray);
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adapters that reach the platform over HTTP.
+ */
+package org.poplarloom.platform.http;
--- /dev/null
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/port/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Ports to what the platform gives: log, instance list, weight store, endpoints and plain
+ * services.
+ */
+package org.poplarloom.platform.port;
--- /dev/null
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/ServiceStandIn.java
@@ -0,0 +1,72 @@
+package org.poplarloom.standin.http;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.sun.net.httpserver.HttpExchange;
+
+/**
+ * A plain service that counts how often each order takes effect.
+ * <p>
+ * This class is thread-safe.
+ */
+public final class ServiceStandIn extends HttpStandIn {
+
+	private final Map<String, Integer> executions = new ConcurrentHashMap<>();
+
+	private final AtomicReference<Crash> nextCrash = new AtomicReference<>(Crash.NONE);
+
+	public ServiceStandIn(int port) {
+		super(port);
+	}
+
+	@Override
+	protected void handle(HttpExchange exchange) throws IOException {
+		String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+		String body = readText(exchange);
+		Crash crash = this.nextCrash.getAndSet(Crash.NONE);
+		if (crash == Crash.BEFORE_EFFECT) {
+			exchange.close();
+			return;
+		}
+		int count = this.executions.merge((key != null) ? key : body, 1, Integer::sum);
+		if (crash == Crash.AFTER_EFFECT) {
+			exchange.close();
+			return;
+		}
+		respond(exchange, 200, Map.of("accepted", true, "count", count));
+	}
+
+	/**
+	 * Ends the connection of the next call without an answer.
+	 * @param crash when it ends
+	 */
+	public void crashNext(Crash crash) {
+		this.nextCrash.set(crash);
+	}
+
+	/**
+	 * Returns how often each order took effect.
+	 * @return counts by idempotency key, or by body for calls without a key
+	 */
+	public Map<String, Integer> executions() {
+		return Map.copyOf(this.executions);
+	}
+
+	/**
+	 * When a call ends without an answer.
+	 */
+	public enum Crash {
+
+		/** The call is answered. */
+		NONE,
+		/** Before the order takes effect. */
+		BEFORE_EFFECT,
+		/** After the order took effect. */
+		AFTER_EFFECT
+
+	}
+
+}
--- /dev/null
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerTraffic.java
@@ -0,0 +1,68 @@
+package org.poplarloom.wire.connection;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts what instances send each other.
+ * <p>
+ * Counts only grow. This class is thread-safe.
+ */
+public final class PeerTraffic {
+
+	/** The bytes that framing adds to a message. */
+	public static final int FRAME_HEADER_BYTES = 4;
+
+	private final LongAdder sentMessages = new LongAdder();
+
+	private final LongAdder sentBytes = new LongAdder();
+
+	private final LongAdder receivedBytes = new LongAdder();
+
+	private final LongAdder dropped = new LongAdder();
+
+	void countSent(int contentBytes) {
+		this.sentMessages.increment();
+		this.sentBytes.add(contentBytes + FRAME_HEADER_BYTES);
+	}
+
+	void countReceived(int contentBytes) {
+		this.receivedBytes.add(contentBytes + FRAME_HEADER_BYTES);
+	}
+
+	void countDropped() {
+		this.dropped.increment();
+	}
+
+	/**
+	 * Returns the number of messages sent.
+	 * @return a number from 0
+	 */
+	public long sentMessages() {
+		return this.sentMessages.sum();
+	}
+
+	/**
+	 * Returns the bytes sent, with framing.
+	 * @return a number from 0
+	 */
+	public long sentBytes() {
+		return this.sentBytes.sum();
+	}
+
+	/**
+	 * Returns the bytes received, with framing.
+	 * @return a number from 0
+	 */
+	public long receivedBytes() {
+		return this.receivedBytes.sum();
+	}
+
+	/**
+	 * Returns the number of messages dropped because a peer did not keep up.
+	 * @return a number from 0
+	 */
+	public long dropped() {
+		return this.dropped.sum();
+	}
+
+}
--- /dev/null
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -0,0 +1,162 @@
+package org.poplarloom.wire.message;
+
+import java.util.List;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.process.CrashRegister;
+import org.poplarloom.core.process.Member;
+import org.poplarloom.core.process.ShardId;
+import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantRequest;
+
+/**
+ * A message between two instances.
+ * <p>
+ * New fields are added at the end of a record only, so that older instances can ignore
+ * them. All implementations are immutable and thread-safe.
+ */
+public sealed interface Message {
+
+	/**
+	 * The first message of a connection, from the side that accepted it.
+	 *
+	 * @param nonce random bytes in hexadecimal
+	 */
+	record Challenge(String nonce) implements Message {
+	}
+
+	/**
+	 * Answers a challenge and poses one.
+	 *
+	 * @param instance the sender
+	 * @param proof the keyed hash of the challenge in hexadecimal
+	 * @param nonce random bytes in hexadecimal
+	 */
+	record Hello(InstanceId instance, String proof, String nonce) implements Message {
+	}
+
+	/**
+	 * Ends the handshake.
+	 *
+	 * @param instance the sender
+	 * @param proof the keyed hash of the other side's nonce in hexadecimal
+	 */
+	record Welcome(InstanceId instance, String proof) implements Message {
+	}
+
+	/**
+	 * Says that a request could not be handled.
+	 *
+	 * @param code the reason
+	 * @param text an explanation
+	 */
+	record Failure(ErrorCode code, String text) implements Message {
+	}
+
+	/**
+	 * Spreads membership, shard homes and the configuration's version.
+	 *
+	 * @param members members of the sender's zone, the sender first
+	 * @param shards where homes are and how loaded they are
+	 * @param offset the offset of the sender's configuration
+	 * @param digest the digest of the sender's configuration
+	 * @param orders unconfirmed zone orders as JSON, usually none
+	 * @param crashes suspected requests, usually none
+	 */
+	record Gossip(List<Member> members, List<ShardStatus> shards, long offset, long digest, List<String> orders,
+			List<CrashRegister.Crash> crashes) implements Message {
+	}
+
+	/**
+	 * Asks for the configuration.
+	 *
+	 * @param offset the offset that the sender has
+	 */
+	record ConfigurationFetch(long offset) implements Message {
+	}
+
+	/**
+	 * Carries a whole configuration.
+	 *
+	 * @param snapshot the snapshot as JSON
+	 */
+	record ConfigurationContent(String snapshot) implements Message {
+	}
+
+	/**
+	 * Asks a home for a grant.
+	 *
+	 * @param shard the shard
+	 * @param request the request
+	 */
+	record GrantAsk(ShardId shard, GrantRequest request) implements Message {
+	}
+
+	/**
+	 * Grants a request.
+	 *
+	 * @param grant the grant
+	 * @param addresses the addresses of the endpoints in the order of the grant's shares
+	 * @param bootIds the boots of the endpoints in the same order
+	 */
+	record GrantGiven(Grant grant, List<String> addresses, List<String> bootIds) implements Message {
+	}
+
+	/**
+	 * Refuses a request.
+	 *
+	 * @param code the reason
+	 * @param retryAfterMillis when another try may succeed, in milliseconds
+	 */
+	record GrantDenied(ErrorCode code, long retryAfterMillis) implements Message {
+	}
+
+	/**
+	 * Reports the first token of a granted request.
+	 *
+	 * @param shard the shard
+	 * @param key the identity of the grant
+	 */
+	record FirstToken(ShardId shard, String key) implements Message {
+	}
+
+	/**
+	 * Ends a grant or withdraws a request.
+	 *
+	 * @param shard the shard
+	 * @param key the identity of the grant
+	 * @param failedEndpoint the endpoint whose process failed, or null
+	 */
+	record Release(ShardId shard, String key, EndpointId failedEndpoint) implements Message {
+	}
+
+	/**
+	 * Tells a new home all grants that the sender holds in its shard.
+	 *
+	 * @param shard the shard
+	 * @param grants the grants
+	 */
+	record Announce(ShardId shard, List<Grant> grants) implements Message {
+	}
+
+	/**
+	 * Asks which configuration is in force.
+	 */
+	record VersionAsk() implements Message {
+	}
+
+	/**
+	 * Says which configuration is in force at the sender.
+	 *
+	 * @param offset the offset
+	 * @param digest the digest
+	 * @param orderIds the ids of unconfirmed zone orders
+	 * @param grants the number of grants that the sender uses
+	 */
+	record VersionGiven(long offset, long digest, List<String> orderIds, int grants) implements Message {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -0,0 +1,90 @@
+package org.poplarloom.wire.message;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Turns envelopes into the content of frames and back.
+ * <p>
+ * The content is an array of version, message type, correlation number, flags and fields.
+ * Reading never accepts a frame that it cannot read whole. This class has no state and is
+ * thread-safe.
+ */
+public final class MessageCodec {
+
+	/** The version of the protocol. */
+	public static final int VERSION = 1;
+
+	private static final int ENVELOPE_FIELDS = 5;
+
+	/**
+	 * Message types by number; a type keeps its number and new ones are added at the end.
+	 */
+	private static final List<Class<? extends Message>> TYPES = List.of(Message.Challenge.class, Message.Hello.class,
+			Message.Welcome.class, Message.Failure.class, Message.Gossip.class, Message.ConfigurationFetch.class,
+			Message.ConfigurationContent.class, Message.GrantAsk.class, Message.GrantGiven.class,
+			Message.GrantDenied.class, Message.FirstToken.class, Message.Release.class, Message.Announce.class,
+			Message.VersionAsk.class, Message.VersionGiven.class);
+
+	private MessageCodec() {
+	}
+
+	/**
+	 * Writes an envelope.
+	 * @param envelope the envelope
+	 * @return the content of a frame
+	 */
+	public static byte[] write(Envelope envelope) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(ENVELOPE_FIELDS);
+			packer.packInt(VERSION);
+			packer.packInt(TYPES.indexOf(envelope.message().getClass()));
+			packer.packLong(envelope.correlation());
+			packer.packBoolean(envelope.isReply());
+			RecordCodec.write(packer, envelope.message());
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw RecordCodec.badFrame("message cannot be written: " + ex.getMessage());
+		}
+	}
+
+	/**
+	 * Reads an envelope.
+	 * @param frame the content of a frame
+	 * @return the envelope
+	 * @throws org.poplarloom.core.PoplarloomException with code {@code bad_frame}
+	 */
+	public static Envelope read(byte[] frame) {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+			int fields = unpacker.unpackArrayHeader();
+			int version = unpacker.unpackInt();
+			int type = unpacker.unpackInt();
+			if (fields < ENVELOPE_FIELDS || version != VERSION || type < 0 || type >= TYPES.size()) {
+				throw RecordCodec.badFrame("version " + version + ", type " + type + ", " + fields + " fields");
+			}
+			long correlation = unpacker.unpackLong();
+			boolean isReply = unpacker.unpackBoolean();
+			return new Envelope(correlation, isReply, RecordCodec.read(unpacker, TYPES.get(type)));
+		}
+		catch (IOException | MessagePackException ex) {
+			throw RecordCodec.badFrame("frame cannot be read: " + ex.getMessage());
+		}
+	}
+
+	/**
+	 * A message and its place in a conversation.
+	 *
+	 * @param correlation ties a reply to its request, 0 if no reply is expected
+	 * @param isReply whether the message is a reply
+	 * @param message the message
+	 */
+	public record Envelope(long correlation, boolean isReply, Message message) {
+	}
+
+}
--- /dev/null
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -0,0 +1,183 @@
+package org.poplarloom.wire.process;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.wire.connection.PeerConnection;
+import org.poplarloom.wire.connection.PeerHandler;
+import org.poplarloom.wire.connection.PeerKey;
+import org.poplarloom.wire.connection.PeerTraffic;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * The socket on which peers connect and the connections to peers.
+ * <p>
+ * There is at most one outgoing connection per address. Requests end by their time-out
+ * whatever the peer does. This class is thread-safe.
+ */
+public final class PeerNetwork implements AutoCloseable {
+
+	private static final int LONGEST_FRAME_BYTES = 32 * 1024 * 1024;
+
+	private static final int LENGTH_BYTES = 4;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+	private static final WriteBufferWaterMark WRITE_LIMIT = new WriteBufferWaterMark(1024 * 1024, 4 * 1024 * 1024);
+
+	private static final int EVENT_LOOP_THREADS = 2;
+
+	private final InstanceId self;
+
+	private final PeerKey key;
+
+	private final PeerHandler handler;
+
+	private final PeerTraffic traffic = new PeerTraffic();
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS,
+			new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+
+	private final Map<String, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
+
+	private Channel listener;
+
+	public PeerNetwork(InstanceId self, PeerKey key, PeerHandler handler) {
+		this.self = self;
+		this.key = key;
+		this.handler = handler;
+	}
+
+	/**
+	 * Starts to accept connections.
+	 * @param host the local address
+	 * @param port the port, 0 for any free one
+	 * @return the port
+	 */
+	public int listen(String host, int port) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_LIMIT)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					addHandlers(channel.pipeline(), connection(true));
+				}
+
+			});
+		this.listener = bootstrap.bind(host, port).syncUninterruptibly().channel();
+		return ((InetSocketAddress) this.listener.localAddress()).getPort();
+	}
+
+	private PeerConnection connection(boolean isServer) {
+		return new PeerConnection(this.self, this.key, this.handler, this.traffic, isServer);
+	}
+
+	private static void addHandlers(ChannelPipeline pipeline, PeerConnection connection) {
+		pipeline.addLast(new LengthFieldBasedFrameDecoder(LONGEST_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+		pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+		pipeline.addLast(connection);
+	}
+
+	/**
+	 * Sends a message that needs no reply, if the peer can be reached.
+	 * @param address the peer's host and port
+	 * @param message the message
+	 */
+	public void send(String address, Message message) {
+		connect(address).thenAccept((connection) -> connection.send(message));
+	}
+
+	/**
+	 * Sends a message and returns its reply.
+	 * @param address the peer's host and port
+	 * @param message the message
+	 * @param timeoutMillis when to give up, in milliseconds
+	 * @return a future that fails if there is no reply in time
+	 */
+	public CompletableFuture<Message> request(String address, Message message, long timeoutMillis) {
+		return connect(address).thenCompose((connection) -> connection.request(message, timeoutMillis))
+			.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private CompletableFuture<PeerConnection> connect(String address) {
+		CompletableFuture<PeerConnection> known = this.connections.get(address);
+		if (known != null && !isBroken(known)) {
+			return known;
+		}
+		return this.connections.compute(address,
+				(key, current) -> (current != null && !isBroken(current)) ? current : open(address));
+	}
+
+	private static boolean isBroken(CompletableFuture<PeerConnection> connection) {
+		return connection.isDone() && (connection.isCompletedExceptionally() || !connection.join().isOpen());
+	}
+
+	private CompletableFuture<PeerConnection> open(String address) {
+		PeerConnection connection = connection(false);
+		int colon = address.lastIndexOf(':');
+		InetSocketAddress target = new InetSocketAddress(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)));
+		new Bootstrap().group(this.group)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_LIMIT)
+			.handler(new ChannelInitializer<SocketChannel>() {
+
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					addHandlers(channel.pipeline(), connection);
+				}
+
+			})
+			.connect(target)
+			.addListener((result) -> {
+				if (!result.isSuccess()) {
+					connection.opened().completeExceptionally(result.cause());
+				}
+			});
+		return connection.opened();
+	}
+
+	/**
+	 * Returns the counts of what was sent and received.
+	 * @return the counts
+	 */
+	public PeerTraffic traffic() {
+		return this.traffic;
+	}
+
+	@Override
+	public void close() {
+		if (this.listener != null) {
+			this.listener.close();
+		}
+		this.connections.values().forEach((opened) -> opened.thenAccept(PeerConnection::close));
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
