--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -1,19 +1,27 @@
 package org.poplarloom.bench;
 
-import java.util.Arrays;
-import java.util.List;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
 
+import com.beust.jcommander.JCommander;
+
+import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
 
 /**
  * The main program of the experiments and the demo.
  * <p>
- * This class has no state and is thread-safe.
+ * Every experiment prints its seed. This class has no state and is thread-safe.
  */
 public final class Bench {
 
 	private static final int EXIT_USAGE = 2;
 
+	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
+			Map.of("slowdown", Bench::slowdown));
+
 	private Bench() {
 	}
 
@@ -22,16 +30,27 @@
 	 * @param arguments the name of the experiment and its flags
 	 */
 	public static void main(String[] arguments) {
-		String name = (arguments.length > 0) ? arguments[0] : "";
-		List<String> rest = Arrays.asList(arguments).subList(Math.min(1, arguments.length), arguments.length);
-		switch (name) {
-			case "demo" -> Demo.run();
-			default -> {
-				System.err.println("usage: poplarloom-bench demo");
-				System.err.println("unknown experiment '" + name + "' " + rest);
-				System.exit(EXIT_USAGE);
-			}
+		BenchOptions options = new BenchOptions();
+		JCommander commander = JCommander.newBuilder().programName("poplarloom-bench").addObject(options).build();
+		commander.parse(arguments);
+		if (options.experiment().equals("demo")) {
+			Demo.run();
+			return;
+		}
+		Function<BenchOptions, Report> experiment = EXPERIMENTS.get(options.experiment());
+		if (options.isHelp() || experiment == null) {
+			commander.usage();
+			System.out.println("  Experiments: demo, " + String.join(", ", EXPERIMENTS.keySet()));
+			System.exit(options.isHelp() ? 0 : EXIT_USAGE);
 		}
+		System.out.println("seed " + options.seed());
+		experiment.apply(options).publish(Path.of(options.output()));
+		System.exit(0);
+	}
+
+	private static Report slowdown(BenchOptions options) {
+		return new SlowdownExperiment(options.engines(), options.utilization(), options.seconds(), options.seed())
+			.run();
 	}
 
 }
--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/HomeRouter.java
@@ -0,0 +1,76 @@
+package org.poplarloom.bench.decision;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.process.EndpointReport;
+import org.poplarloom.core.process.HomeDecision;
+import org.poplarloom.core.process.PlacementPolicy;
+import org.poplarloom.core.process.ShardHome;
+import org.poplarloom.core.request.GrantDecision;
+import org.poplarloom.core.request.GrantRequest;
+
+/**
+ * Decides by one home of the shard.
+ * <p>
+ * This class is not thread-safe.
+ */
+final class HomeRouter implements Router {
+
+	private static final InstanceId HOLDER = InstanceId.of("holder");
+
+	private final ShardHome home;
+
+	private Consumer<GrantDecision> consumer;
+
+	HomeRouter(PlacementPolicy policy, ColdStartRamp.Settings ramp) {
+		this.home = ShardHome.of(policy, ramp, 0);
+	}
+
+	ShardHome home() {
+		return this.home;
+	}
+
+	@Override
+	public GrantDecision request(GrantRequest request, long nowMillis) {
+		return this.home.request(HOLDER, request, nowMillis);
+	}
+
+	@Override
+	public void segmentDone(String key, int segment, long nowMillis) {
+		dispatch(this.home.segmentDone(key, segment, nowMillis));
+	}
+
+	@Override
+	public void firstToken(String key, long nowMillis) {
+		dispatch(this.home.firstToken(key, nowMillis));
+	}
+
+	@Override
+	public void release(String key, long nowMillis) {
+		dispatch(this.home.release(key, nowMillis));
+	}
+
+	@Override
+	public void observe(List<EndpointReport> reports, long nowMillis) {
+		dispatch(this.home.observe(reports, Set.of(), nowMillis));
+	}
+
+	@Override
+	public void tick(long nowMillis) {
+		dispatch(this.home.tick(nowMillis));
+	}
+
+	@Override
+	public void onDecision(Consumer<GrantDecision> newConsumer) {
+		this.consumer = newConsumer;
+	}
+
+	private void dispatch(List<HomeDecision> decisions) {
+		decisions.forEach((decision) -> this.consumer.accept(decision.decision()));
+	}
+
+}
--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiments on the decisions of one shard, in virtual time with seeded randomness.
+ */
+package org.poplarloom.bench.decision;
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -162,8 +162,9 @@
 		return this.ramp.isWarm(this.report.slots(), nowMillis);
 	}
 
-	void hold(Grant grant, long kvTokens, long nowMillis) {
-		Hold hold = new Hold(grant.request(), kvTokens, nowMillis, grant.request().lengthClass().isLong());
+	void hold(Grant grant, long kvTokens, boolean isPrefilling, long nowMillis) {
+		boolean isPrefillingLong = isPrefilling && grant.request().lengthClass().isLong();
+		Hold hold = new Hold(grant.request(), kvTokens, nowMillis, isPrefillingLong);
 		Hold previous = this.holds.put(grant.key(), hold);
 		if (previous != null) {
 			forget(previous);
@@ -189,7 +190,7 @@
 			return;
 		}
 		if (hold.isPrefillingLong()) {
-			this.holds.put(key, hold.withPrefillDone());
+			this.holds.put(key, hold.withPrefilling(false));
 			this.longPrefills--;
 		}
 		else {
@@ -197,6 +198,14 @@
 		}
 	}
 
+	void startPrefill(String key) {
+		Hold hold = this.holds.get(key);
+		if (hold != null && !hold.isPrefillingLong() && hold.request().lengthClass().isLong()) {
+			this.holds.put(key, hold.withPrefilling(true));
+			this.longPrefills++;
+		}
+	}
+
 	private void observeFirstToken(Hold hold, long nowMillis) {
 		double expected = prefillMillis(hold.request().promptTokens());
 		double actual = nowMillis - hold.grantedMillis();
@@ -269,8 +278,8 @@
 	 */
 	private record Hold(GrantRequest request, long kvTokens, long grantedMillis, boolean isPrefillingLong) {
 
-		Hold withPrefillDone() {
-			return new Hold(this.request, this.kvTokens, this.grantedMillis, false);
+		Hold withPrefilling(boolean isPrefilling) {
+			return new Hold(this.request, this.kvTokens, this.grantedMillis, isPrefilling);
 		}
 
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -163,10 +163,11 @@
 	}
 
 	private void hold(InstanceId holder, Grant grant, long nowMillis) {
-		for (Share share : grant.shares()) {
+		for (int i = 0; i < grant.shares().size(); i++) {
+			Share share = grant.shares().get(i);
 			EndpointLedger ledger = this.ledgers.get(share.endpoint());
 			if (ledger != null) {
-				ledger.hold(grant, share.kvTokens(), nowMillis);
+				ledger.hold(grant, share.kvTokens(), i == 0, nowMillis);
 			}
 		}
 		this.held.put(grant.key(), new Held(holder, grant));
@@ -210,6 +211,35 @@
 		}
 	}
 
+	/**
+	 * Notes that one endpoint has prefilled its part and the next one starts.
+	 * @param key the identity of the grant
+	 * @param segment the part that is done, counted from 0
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on requests that waited
+	 */
+	public List<HomeDecision> segmentDone(String key, int segment, long nowMillis) {
+		this.lock.lock();
+		try {
+			Held found = this.held.get(key);
+			if (found == null || segment < 0 || segment + 1 >= found.grant().shares().size()) {
+				return List.of();
+			}
+			EndpointLedger done = this.ledgers.get(found.grant().shares().get(segment).endpoint());
+			EndpointLedger next = this.ledgers.get(found.grant().shares().get(segment + 1).endpoint());
+			if (done != null) {
+				done.firstToken(key, nowMillis);
+			}
+			if (next != null) {
+				next.startPrefill(key);
+			}
+			return pump(nowMillis);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Ends a grant or takes a request out of the queue.
 	 * @param key the identity of the grant
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
@@ -1,5 +1,7 @@
 package org.poplarloom.entry.http;
 
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,11 +17,13 @@
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Post;
-import io.micronaut.http.sse.Event;
 import io.micronaut.scheduling.TaskExecutors;
 import io.micronaut.scheduling.annotation.ExecuteOn;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.PoplarloomException;
@@ -47,6 +51,14 @@
 
 	private static final String DONE = "[DONE]";
 
+	/** How long the status of a streamed answer is kept open. */
+	private static final Duration PATIENCE = Duration.ofSeconds(2);
+
+	/** The time between comments that keep an idle stream open. */
+	private static final Duration KEEP_ALIVE = Duration.ofSeconds(10);
+
+	private static final String KEEP_ALIVE_COMMENT = ": keep-alive\n\n";
+
 	private final Node node;
 
 	private final ChatService chat;
@@ -103,20 +115,37 @@
 	}
 
 	private Mono<MutableHttpResponse<?>> stream(Flux<EngineEvent> answer, ChatFormat format, ChatRequest request) {
-		return FirstSignal.of(answer).map((pieces) -> {
-			Flux<Event<String>> events = pieces.map((event) -> Event.of(format.chunk(event)))
-				.concatWith(Flux.just(Event.of(DONE)))
-				.onErrorResume((failure) -> Flux.just(errorEvent(failure)));
-			return HttpResponse.ok(events)
+		return FirstSignal.of(answer, PATIENCE)
+			.map((pieces) -> HttpResponse.ok(events(pieces, format))
 				.contentType(MediaType.TEXT_EVENT_STREAM_TYPE)
-				.header("X-Request-Id", request.id());
-		});
+				.header("X-Request-Id", request.id()));
+	}
+
+	private Flux<ByteBuf> events(Flux<EngineEvent> pieces, ChatFormat format) {
+		Sinks.Empty<Void> ended = Sinks.empty();
+		Flux<ByteBuf> events = pieces.map((event) -> data(format.chunk(event)))
+			.concatWith(Mono.fromSupplier(() -> data(DONE)))
+			.onErrorResume((failure) -> Mono.just(data(errorBody(failure))))
+			.doFinally((signal) -> ended.tryEmitEmpty());
+		Flux<ByteBuf> comments = Flux.interval(KEEP_ALIVE)
+			.onBackpressureDrop()
+			.map((tick) -> bytes(KEEP_ALIVE_COMMENT))
+			.takeUntilOther(ended.asMono());
+		return events.mergeWith(comments);
+	}
+
+	private static ByteBuf data(String content) {
+		return bytes("data: " + content + "\n\n");
+	}
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
 	}
 
-	private Event<String> errorEvent(Throwable failure) {
+	private String errorBody(Throwable failure) {
 		PoplarloomException problem = Problem.of(failure);
 		this.metrics.countRefusal(problem.code());
-		return Event.of(Problem.json(problem));
+		return Problem.json(problem);
 	}
 
 	private Mono<MutableHttpResponse<?>> whole(Flux<EngineEvent> answer, ChatFormat format, ChatRequest request) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -26,6 +26,8 @@
 
 	private static final int LARGEST_BODY_BYTES = 16 * 1024 * 1024;
 
+	private static final String IDLE_TIMEOUT = "15m";
+
 	private static final long LIMITS_MILLIS = 500;
 
 	private static final long DRAIN_POLL_MILLIS = 50;
@@ -68,7 +70,7 @@
 		properties.put("micronaut.server.host", this.settings.host());
 		properties.put("micronaut.server.port", (this.settings.httpPort() == 0) ? -1 : this.settings.httpPort());
 		properties.put("micronaut.server.max-request-size", LARGEST_BODY_BYTES);
-		properties.put("micronaut.server.idle-timeout", "60s");
+		properties.put("micronaut.server.idle-timeout", IDLE_TIMEOUT);
 		properties.put("micronaut.http.client.read-timeout", "60s");
 		this.context = ApplicationContext.builder()
 			.properties(properties)
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/EngineSettings.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/EngineSettings.java
@@ -23,6 +23,15 @@
 	public static final EngineSettings DEFAULT = new EngineSettings(20_000, 1_024, 15, 450_000, 64, 8_000, 4, 2_000, 64,
 			true);
 
+	/**
+	 * Returns the prefill rate with the time that each step takes besides.
+	 * @return tokens a second when every step prefills a whole chunk
+	 */
+	public double sustainedTokensPerSecond() {
+		double chunkMillis = this.chunkTokens / this.prefillTokensPerSecond * 1_000 + this.stepMillis;
+		return this.chunkTokens / chunkMillis * 1_000;
+	}
+
 	/**
 	 * Returns the settings with other rates.
 	 * @param newPrefillTokensPerSecond the prefill rate
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/Sequence.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/Sequence.java
@@ -17,6 +17,8 @@
 
 	private final long prefixHash;
 
+	private long kvTokens;
+
 	private long remainingPrefill;
 
 	private long produced;
@@ -30,6 +32,7 @@
 		this.answerTokens = answerTokens;
 		this.prefixHash = prefixHash;
 		this.remainingPrefill = promptTokens;
+		this.kvTokens = promptTokens + answerTokens;
 	}
 
 	/**
@@ -45,6 +48,16 @@
 		return new Sequence(id, priority, promptTokens, answerTokens, prefixHash);
 	}
 
+	/**
+	 * Sets the memory that the sequence takes.
+	 * @param tokens the reserved size of the KV cache in tokens
+	 * @return this sequence
+	 */
+	public Sequence withKvTokens(long tokens) {
+		this.kvTokens = tokens;
+		return this;
+	}
+
 	/**
 	 * Skips answer tokens that an earlier attempt has produced; they are prefilled.
 	 * @param tokens the number of tokens to skip
@@ -77,7 +90,7 @@
 	}
 
 	long kvTokens() {
-		return this.promptTokens + this.answerTokens;
+		return this.kvTokens;
 	}
 
 	long prefixHash() {
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -151,7 +151,7 @@
 			long uptime = System.currentTimeMillis() - this.model.startedMillis();
 			return new Load(this.id, this.id + "-" + this.model.boots(), this.leaving, this.models, settings.slots(),
 					settings.kvTokens(), settings.kvTokens() - this.model.usedKvTokens(), this.model.size(),
-					settings.prefillTokensPerSecond(), this.highestFence, uptime, this.totalRequests,
+					settings.sustainedTokensPerSecond(), this.highestFence, uptime, this.totalRequests,
 					this.totalPromptTokens, this.totalAnswerTokens);
 		}
 	}
