Run orders at most once through claims on the log

Cause: a rehandle order was booked twice; instances know nothing of each other and any answer can be lost. Change: a claim per idempotency key on a stream that follows from the key alone (one minute of key creation, one of four buckets); the first claim in log order runs the order, nobody takes it over; a release is appended only by a claimant that has sent nothing and never will; outcomes are recorded and replayed. Concurrent claims share an append. Not shown yet: a claimant paused beyond all time-outs.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/SlowdownExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/SlowdownExperiment.java
@@ -82,6 +82,16 @@
 		return home(policy).apply(load()).shortPercentile(PERCENTILE) / alone;
 	}
 
+	/**
+	 * Compares the throughput of long prompts with first come, first served.
+	 * @param policy the policy
+	 * @return the ratio of prompt tokens that ended in time
+	 */
+	public double longShare(PlacementPolicy policy) {
+		long fcfs = home(new LeastLoadedPlacement()).apply(load()).finishedLongTokens();
+		return (double) home(policy).apply(load()).finishedLongTokens() / fcfs;
+	}
+
 	private Function<Load, ShardRun.Result> home(PlacementPolicy policy) {
 		return (load) -> new ShardRun(load, this.seed).run(new HomeRouter(policy, ColdStartRamp.Settings.DEFAULT));
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
@@ -62,10 +62,10 @@
 	ANSWER_INCOMPLETE(502),
 	/** The request has crashed endpoints and is not run again for a time. */
 	QUARANTINED(422),
-	/** An order with this key was started and its outcome is not known. */
+	/** The idempotency key was used for an order with other content. */
+	IDEMPOTENCY_KEY_REUSED(422),
+	/** An order with this key was started and its outcome is not known yet. */
 	OUTCOME_UNKNOWN(409),
-	/** Another order with this key is being run. */
-	ORDER_IN_PROGRESS(409),
 	/** The platform's log cannot be reached. */
 	LOG_UNAVAILABLE(503),
 	/** The instance has not yet learnt a configuration. */
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -47,8 +46,6 @@
 @Controller("/v1")
 final class ChatController {
 
-	private static final String TIMEOUT_HEADER = "X-Timeout-Ms";
-
 	private static final String DONE = "[DONE]";
 
 	/** How long the status of a streamed answer is kept open. */
@@ -95,25 +92,10 @@
 			throw new PoplarloomException(ErrorCode.PROMPT_TOO_LONG, "the prompt has about " + shape.promptTokens()
 					+ " tokens, but the contract allows " + contract.longestPromptTokens());
 		}
-		long deadline = this.node.clock().nowMillis() + timeoutMillis(http, contract);
+		long deadline = this.node.clock().nowMillis() + Timeouts.millis(http, contract);
 		return new ChatRequest("chatcmpl-" + UUID.randomUUID(), contract, shape, body, Fingerprint.of(body), deadline);
 	}
 
-	private static long timeoutMillis(HttpRequest<?> http, Contract contract) {
-		long longest = TimeUnit.SECONDS.toMillis(contract.longestAnswerSeconds());
-		String header = http.getHeaders().get(TIMEOUT_HEADER);
-		if (header == null) {
-			return longest;
-		}
-		try {
-			return Math.max(1, Math.min(longest, Long.parseLong(header)));
-		}
-		catch (NumberFormatException ex) {
-			throw new PoplarloomException(ErrorCode.INVALID_REQUEST,
-					TIMEOUT_HEADER + " must be a number of milliseconds, but was '" + header + "'");
-		}
-	}
-
 	private Mono<MutableHttpResponse<?>> stream(Flux<EngineEvent> answer, ChatFormat format, ChatRequest request) {
 		return FirstSignal.of(answer, PATIENCE)
 			.map((pieces) -> HttpResponse.ok(events(pieces, format))
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ServiceController.java
@@ -0,0 +1,106 @@
+package org.poplarloom.entry.http;
+
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Header;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.scheduling.TaskExecutors;
+import io.micronaut.scheduling.annotation.ExecuteOn;
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.IdempotencyKey;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.TeamLimiter;
+import org.poplarloom.core.version.Contract;
+import org.poplarloom.core.version.ServiceTerms;
+import org.poplarloom.entry.process.Node;
+import org.poplarloom.entry.request.Fingerprint;
+import org.poplarloom.entry.request.Limits;
+import org.poplarloom.entry.request.Order;
+import org.poplarloom.entry.request.OrderService;
+import org.poplarloom.platform.port.ServicePort.ServiceAnswer;
+import org.poplarloom.platform.port.ServicePort.ServiceCall;
+
+/**
+ * The interface to plain services.
+ * <p>
+ * A call that the contract does not allow to be repeated needs an idempotency key. This
+ * class is thread-safe.
+ */
+@Controller("/v1/services")
+final class ServiceController {
+
+	private static final long TOKENS_PER_CALL = 1;
+
+	private final Node node;
+
+	private final OrderService orders;
+
+	private final Limits limits;
+
+	private final CallerAuthentication authentication;
+
+	ServiceController(Node node, OrderService orders, Limits limits, CallerAuthentication authentication) {
+		this.node = node;
+		this.orders = orders;
+		this.limits = limits;
+		this.authentication = authentication;
+	}
+
+	@Post(uris = { "/{service}", "/{service}/{+path}" })
+	@Consumes(MediaType.ALL)
+	@ExecuteOn(TaskExecutors.IO)
+	Mono<MutableHttpResponse<String>> call(HttpRequest<?> http, String service, @Nullable String path,
+			@Header("Idempotency-Key") @Nullable String key, @Body @Nullable byte[] body) {
+		Contract contract = this.authentication.requireContract(http);
+		ServiceTerms terms = contract.services().get(service);
+		if (terms == null) {
+			throw new PoplarloomException(ErrorCode.NOT_IN_CONTRACT,
+					"the contract does not include the service '" + service + "'");
+		}
+		byte[] content = (body != null) ? body : new byte[0];
+		Order order = order(http, contract, terms, new Target(service, (path != null) ? path : ""), key, content);
+		TeamLimiter limiter = this.limits.limiter(contract);
+		limiter.admit(TOKENS_PER_CALL, this.node.clock().nowMillis()).ifPresent((refusal) -> {
+			throw new PoplarloomException(refusal.code(), org.poplarloom.core.Executed.NO,
+					"team " + contract.team() + " is over its limit", refusal.retryAfterMillis());
+		});
+		this.limits.retryBudget(contract.team()).earn(contract.retryBudgetPercent());
+		Mono<ServiceAnswer> answer = terms.isRepeatable() ? this.orders.runRepeatable(order)
+				: this.orders.runOnce(order);
+		return answer.doFinally((signal) -> limiter.finish(TOKENS_PER_CALL, TOKENS_PER_CALL))
+			.map(ServiceController::response);
+	}
+
+	private Order order(HttpRequest<?> http, Contract contract, ServiceTerms terms, Target target, String key,
+			byte[] content) {
+		IdempotencyKey parsed = terms.isRepeatable() ? null : IdempotencyKey.parse(key);
+		String type = http.getContentType().map(MediaType::toString).orElse(MediaType.APPLICATION_JSON);
+		String path = "/" + target.path();
+		ServiceCall call = new ServiceCall(path, (key != null) ? key : "", type, content);
+		long deadline = this.node.clock().nowMillis() + Timeouts.millis(http, contract);
+		String fingerprint = Fingerprint.of(path, content);
+		return new Order(contract, target.service(), parsed, fingerprint, call, deadline);
+	}
+
+	private static MutableHttpResponse<String> response(ServiceAnswer answer) {
+		return HttpResponse.<String>status(HttpStatus.valueOf(answer.status()))
+			.body(answer.body())
+			.contentType(answer.contentType());
+	}
+
+	/**
+	 * What a call is for.
+	 */
+	private record Target(String service, String path) {
+	}
+
+}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -12,6 +12,7 @@
 import org.poplarloom.entry.request.ChatService;
 import org.poplarloom.entry.request.EntryMetrics;
 import org.poplarloom.entry.request.Limits;
+import org.poplarloom.entry.request.OrderService;
 import org.poplarloom.entry.version.ConfigurationPublisher;
 
 /**
@@ -74,7 +75,8 @@
 		properties.put("micronaut.http.client.read-timeout", "60s");
 		this.context = ApplicationContext.builder()
 			.properties(properties)
-			.singletons(this, this.node, metrics, limits, new ChatService(this.node, limits, metrics), publisher)
+			.singletons(this, this.node, metrics, limits, new ChatService(this.node, limits, metrics), publisher,
+					new OrderService(this.node, new ClaimLog(this.node.log()), limits))
 			.banner(false)
 			.start();
 		this.server = this.context.getBean(EmbeddedServer.class).start();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Fingerprint.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Fingerprint.java
@@ -35,6 +35,18 @@
 		return HexFormat.of().formatHex(sha256().digest(body)).substring(0, CONTENT_CHARACTERS);
 	}
 
+	/**
+	 * Returns the hash of a call's path and content.
+	 * @param path the path
+	 * @param body the content
+	 * @return the first half of the hexadecimal SHA-256
+	 */
+	public static String of(String path, byte[] body) {
+		MessageDigest digest = sha256();
+		digest.update(path.getBytes(StandardCharsets.UTF_8));
+		return HexFormat.of().formatHex(digest.digest(body)).substring(0, CONTENT_CHARACTERS);
+	}
+
 	private static MessageDigest sha256() {
 		try {
 			return MessageDigest.getInstance("SHA-256");
