Measure a zone that leaves and returns, also while the log is down

Change: an experiment with 15 daemons and 21 engines in three zones on loopback; a zone order waits 700 ms for the log before it goes straight to instances, so that a log that does not answer cannot hold it up for its whole time-out. A zone that is cut off is not measured yet.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -9,6 +9,7 @@
 
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
+import org.poplarloom.bench.fleet.ZoneExperiment;
 
 /**
  * The main program of the experiments and the demo.
@@ -20,7 +21,7 @@
 	private static final int EXIT_USAGE = 2;
 
 	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
-			Map.of("slowdown", Bench::slowdown));
+			Map.of("slowdown", Bench::slowdown, "zone", Bench::zone));
 
 	private Bench() {
 	}
@@ -53,4 +54,8 @@
 			.run();
 	}
 
+	private static Report zone(BenchOptions options) {
+		return new ZoneExperiment(options.seed(), options.seconds()).run();
+	}
+
 }
--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiments with real daemons on loopback.
+ */
+package org.poplarloom.bench.fleet;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
@@ -29,6 +29,9 @@
 
 	private static final Duration READ_BACK = Duration.ofMillis(1_500);
 
+	/** How long a zone order waits for the log before it goes straight to instances. */
+	private static final Duration ORDER_PATIENCE = Duration.ofMillis(700);
+
 	private static final int APPEND_TRIES = 3;
 
 	private final LogPort log;
@@ -94,11 +97,14 @@
 	 * @param operator who gives the order
 	 * @param change the order
 	 * @param nowMillis the time in milliseconds since the epoch
-	 * @return the offset, or the last known offset if the order is not confirmed yet
+	 * @return whether the order is on the log and its offset
 	 */
 	public Mono<ZoneResult> order(String id, String operator, Change.SetZone change, long nowMillis) {
 		Publication publication = new Publication(id, Publication.ANY_OFFSET, operator, change);
-		return appendAndReadBack(publication).map((offset) -> new ZoneResult(offset, true))
+		return appendAndReadBack(publication)
+			.timeout(ORDER_PATIENCE, Mono.error(new PoplarloomException(ErrorCode.LOG_UNAVAILABLE, Executed.UNKNOWN,
+					"the log does not answer")))
+			.map((offset) -> new ZoneResult(offset, true))
 			.onErrorResume(ConfigurationPublisher::isUnavailable, (failure) -> {
 				long known = this.keeper.configuration().offset();
 				this.keeper
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -58,6 +58,8 @@
 
 	private int highestConcurrency;
 
+	private long lastRequestMillis;
+
 	private long totalRequests;
 
 	private long totalPromptTokens;
@@ -201,6 +203,7 @@
 			}
 			this.highestFence = Math.max(this.highestFence, fence);
 			this.streams.put(sequence.id(), stream);
+			this.lastRequestMillis = System.currentTimeMillis();
 			bears = this.model.submit(sequence, System.currentTimeMillis());
 			this.highestConcurrency = Math.max(this.highestConcurrency, this.model.size());
 		}
@@ -307,6 +310,16 @@
 		}
 	}
 
+	/**
+	 * Returns when the engine got its last request.
+	 * @return the time in milliseconds since the epoch, 0 if there was none
+	 */
+	public long lastRequestMillis() {
+		synchronized (this.model) {
+			return this.lastRequestMillis;
+		}
+	}
+
 	/**
 	 * Returns the memory in use.
 	 * @return tokens
