--- /dev/null
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/RendezvousTests.java
@@ -0,0 +1,41 @@
+package org.poplarloom.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Tests for {@link Rendezvous}.
+ */
+public class RendezvousTests {
+
+	private static final int KEYS = 27_000;
+
+	@Test
+	public void spreadsKeysEvenlyAndMovesOnlyThoseOfALostMember() {
+		List<String> members = new ArrayList<>();
+		for (int i = 0; i < 27; i++) {
+			members.add("member-" + i);
+		}
+		List<String> fewer = members.subList(0, 26);
+		Map<String, Integer> counts = new HashMap<>();
+		for (int key = 0; key < KEYS; key++) {
+			String chosen = Rendezvous.choose("key-" + key, members).orElseThrow();
+			counts.merge(chosen, 1, Integer::sum);
+			if (!chosen.equals("member-26")) {
+				Assert.assertEquals(Rendezvous.choose("key-" + key, fewer).orElseThrow(), chosen);
+			}
+		}
+		counts.values().forEach((count) -> Assert.assertEquals(count, KEYS / 27.0, KEYS / 27.0 * 0.2));
+	}
+
+	@Test
+	public void choosesNothingFromNothing() {
+		Assert.assertTrue(Rendezvous.choose("key", List.of()).isEmpty());
+	}
+
+}
--- /dev/null
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/request/AnswerSequenceTests.java
@@ -0,0 +1,38 @@
+package org.poplarloom.core.request;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+import org.poplarloom.core.request.AnswerSequence.Verdict;
+
+/**
+ * Tests for {@link AnswerSequence}.
+ */
+public class AnswerSequenceTests {
+
+	private static AnswerPiece piece(String request, int attempt, long position, String finish) {
+		return new AnswerPiece(request, attempt, position, (finish != null) ? 0 : 1, "w", finish);
+	}
+
+	@Test
+	public void deliversInOrderAndDropsForeignLateAndRepeatedPieces() {
+		AnswerSequence sequence = AnswerSequence.of("r", 2, 0);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 0, null)), Verdict.DELIVER);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 0, null)), Verdict.DROP);
+		Assert.assertEquals(sequence.accept(piece("r", 1, 1, null)), Verdict.DROP);
+		Assert.assertEquals(sequence.accept(piece("q", 2, 1, null)), Verdict.DROP);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 2, null)), Verdict.GAP);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 1, null)), Verdict.DELIVER);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 2, "stop")), Verdict.DELIVER);
+		Assert.assertTrue(sequence.isEnded());
+		Assert.assertEquals(sequence.accept(piece("r", 2, 2, null)), Verdict.DROP);
+	}
+
+	@Test
+	public void goesOnWhereEarlierAttemptsEnded() {
+		AnswerSequence sequence = AnswerSequence.of("r", 2, 7);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 6, null)), Verdict.DROP);
+		Assert.assertEquals(sequence.accept(piece("r", 2, 7, null)), Verdict.DELIVER);
+	}
+
+}
--- /dev/null
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -0,0 +1,97 @@
+package org.poplarloom.wire.message;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.FenceNumber;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.TeamId;
+import org.poplarloom.core.process.CrashRegister;
+import org.poplarloom.core.process.HomeSummary;
+import org.poplarloom.core.process.Member;
+import org.poplarloom.core.process.ShardId;
+import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.Share;
+import org.poplarloom.wire.message.MessageCodec.Envelope;
+
+/**
+ * Tests for {@link MessageCodec}.
+ */
+public class MessageCodecTests {
+
+	private static final int FUZZ_ROUNDS = 20_000;
+
+	private static final ShardId SHARD = new ShardId(AvailabilityZone.of("gijon"), 3);
+
+	private static final GrantRequest REQUEST = new GrantRequest("r", 2, TeamId.of("rota"), "model", 1_000, 50, 77,
+			123_456, true, Set.of(EndpointId.of("e1")));
+
+	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
+			new FenceNumber(99), 200_000, 30);
+
+	@DataProvider
+	public static Object[] messages() {
+		InstanceId instance = InstanceId.of("i1");
+		Member member = new Member(instance, AvailabilityZone.of("gijon"), "127.0.0.1:1", 5, 6, true);
+		ShardStatus status = new ShardStatus(SHARD, instance, "127.0.0.1:1", 7, new HomeSummary(1, 2, 3, 4, false));
+		return new Object[] { new Message.Challenge("n"), new Message.Hello(instance, "p", "n"),
+				new Message.Welcome(instance, "p"), new Message.Failure(ErrorCode.NOT_HOME, "t"),
+				new Message.Gossip(List.of(member), List.of(status), 8, 9, List.of("{}"),
+						List.of(new CrashRegister.Crash("f", 1, "e@b", 10))),
+				new Message.ConfigurationFetch(3), new Message.ConfigurationContent("{}"),
+				new Message.GrantAsk(SHARD, REQUEST), new Message.GrantGiven(GRANT, List.of("a"), List.of("b")),
+				new Message.GrantDenied(ErrorCode.ZONE_OUT, 5), new Message.FirstToken(SHARD, "k"),
+				new Message.Release(SHARD, "k", null), new Message.Release(SHARD, "k", EndpointId.of("e")),
+				new Message.Announce(SHARD, List.of(GRANT)), new Message.VersionAsk(),
+				new Message.VersionGiven(1, 2, List.of("o"), 3) };
+	}
+
+	@Test(dataProvider = "messages")
+	public void readsWhatItWrites(Message message) {
+		Envelope envelope = new Envelope(42, true, message);
+		Assert.assertEquals(MessageCodec.read(MessageCodec.write(envelope)), envelope);
+	}
+
+	@Test
+	public void ignoresUnknownFieldsAndDefaultsMissingOnes() throws IOException {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(5).packInt(MessageCodec.VERSION).packInt(10).packLong(0).packBoolean(false);
+			packer.packMapHeader(2).packInt(1).packString("k").packInt(9).packArrayHeader(1).packString("new");
+			Envelope envelope = MessageCodec.read(packer.toByteArray());
+			Assert.assertEquals(envelope.message(), new Message.FirstToken(null, "k"));
+		}
+	}
+
+	@Test(dataProvider = "messages")
+	public void damagedFramesGiveNothingButBadFrame(Message message) {
+		Random random = new Random(3);
+		byte[] frame = MessageCodec.write(new Envelope(1, false, message));
+		for (int round = 0; round < FUZZ_ROUNDS / 16; round++) {
+			byte[] damaged = frame.clone();
+			damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+			byte[] cut = Arrays.copyOf(damaged, random.nextInt(damaged.length + 1));
+			try {
+				MessageCodec.read(cut);
+			}
+			catch (PoplarloomException ex) {
+				Assert.assertEquals(ex.code(), ErrorCode.BAD_FRAME);
+			}
+		}
+	}
+
+}
