Bound what an instance sends for membership

Cause: worked out from the measured slopes, gossip of whole zone tables would send 22 KB/s per node in a zone of 27 instances; the budget is 4 KB/s. Change: small heartbeats straight to the instances of the zone, gossip of at most 8 members and 6 shard statuses to one near and one far peer, periods that grow with the zone; record codec through exact method handles.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -7,6 +7,7 @@
 
 import com.beust.jcommander.JCommander;
 
+import org.poplarloom.bench.capacity.SlopeExperiment;
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
 import org.poplarloom.bench.fleet.ZoneExperiment;
@@ -20,8 +21,8 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
-			Map.of("slowdown", Bench::slowdown, "zone", Bench::zone));
+	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(Map.of("slowdown",
+			Bench::slowdown, "zone", Bench::zone, "capacity", (options) -> new SlopeExperiment().run()));
 
 	private Bench() {
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/Member.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/Member.java
@@ -36,7 +36,16 @@
 	 * @return a newer member
 	 */
 	public Member plusHeartbeat() {
-		return new Member(this.id, this.zone, this.address, this.incarnation, this.heartbeat + 1, this.isLeaving);
+		return withHeartbeat(this.heartbeat + 1);
+	}
+
+	/**
+	 * Returns the member with another heartbeat.
+	 * @param newHeartbeat the heartbeat
+	 * @return the member
+	 */
+	public Member withHeartbeat(long newHeartbeat) {
+		return new Member(this.id, this.zone, this.address, this.incarnation, newHeartbeat, this.isLeaving);
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -18,16 +18,20 @@
  * The instances and shard homes that an instance knows, spread by gossip.
  * <p>
  * A member is live while its heartbeat has grown within the failure timeout, judged by
- * the local clock alone. News of an instance is replaced only by newer news. This class
- * is thread-safe; one lock guards its tables and no other lock is taken while it is held.
+ * the local clock alone; members of other zones have four times as long. News of an
+ * instance is replaced only by newer news. This class is thread-safe; one lock guards its
+ * tables and no other lock is taken while it is held.
  */
 public final class MembershipTable {
 
 	/** The most members in one gossip message. */
-	public static final int GOSSIP_MEMBERS = 32;
+	public static final int GOSSIP_MEMBERS = 8;
 
 	/** The most shard statuses in one gossip message. */
-	public static final int GOSSIP_SHARDS = 16;
+	public static final int GOSSIP_SHARDS = 6;
+
+	/** How much longer news from other zones stays valid, as they come less often. */
+	private static final int OTHER_ZONE_FACTOR = 4;
 
 	private final long failureTimeoutMillis;
 
@@ -91,6 +95,36 @@
 		}
 	}
 
+	/**
+	 * Notes a heartbeat that came from the member itself.
+	 * @param id the member
+	 * @param incarnation the incarnation of its process
+	 * @param beat the heartbeat
+	 * @param nowMillis the local time in milliseconds
+	 * @return the member, or empty if this incarnation was never introduced
+	 */
+	public synchronized Optional<Member> beat(InstanceId id, long incarnation, long beat, long nowMillis) {
+		Observed<Member> known = this.members.get(id);
+		if (known == null || known.value().incarnation() != incarnation) {
+			return Optional.empty();
+		}
+		Member member = known.value().withHeartbeat(Math.max(beat, known.value().heartbeat()));
+		if (beat > known.value().heartbeat()) {
+			this.members.put(id, new Observed<>(member, nowMillis));
+		}
+		return Optional.of(member);
+	}
+
+	/**
+	 * Says whether an incarnation of a member is known.
+	 * @param member the member
+	 * @return true if it was introduced before
+	 */
+	public synchronized boolean isKnown(Member member) {
+		Observed<Member> known = this.members.get(member.id());
+		return known != null && known.value().incarnation() == member.incarnation();
+	}
+
 	/**
 	 * Takes over shard statuses that a peer sent.
 	 * @param news the statuses
@@ -136,7 +170,7 @@
 		List<Member> live = new ArrayList<>();
 		live.add(this.self);
 		for (Observed<Member> entry : this.members.values()) {
-			if (isRecent(entry, nowMillis)) {
+			if (isRecent(entry, entry.value().zone(), nowMillis)) {
 				live.add(entry.value());
 			}
 		}
@@ -165,7 +199,7 @@
 	public synchronized List<ShardStatus> liveShards(long nowMillis) {
 		return this.shards.values()
 			.stream()
-			.filter((entry) -> isRecent(entry, nowMillis))
+			.filter((entry) -> isRecent(entry, entry.value().shard().zone(), nowMillis))
 			.map(Observed::value)
 			.toList();
 	}
@@ -187,22 +221,24 @@
 	}
 
 	/**
-	 * Returns shard statuses to tell a peer, the most recently heard first.
+	 * Returns shard statuses to tell a peer.
+	 * <p>
+	 * A peer of the same zone hears of other zones, a peer of another zone of this one.
+	 * @param isSameZone whether the peer is in the same zone
 	 * @param nowMillis the local time in milliseconds
+	 * @param random the source of the choice when there are too many
 	 * @return the statuses
 	 */
-	public synchronized List<ShardStatus> gossipShards(long nowMillis) {
-		return this.shards.values()
-			.stream()
-			.filter((entry) -> isRecent(entry, nowMillis))
-			.sorted(Comparator.comparingLong((Observed<ShardStatus> entry) -> -entry.atMillis()))
-			.limit(GOSSIP_SHARDS)
-			.map(Observed::value)
-			.toList();
+	public synchronized List<ShardStatus> gossipShards(boolean isSameZone, long nowMillis, Random random) {
+		List<ShardStatus> candidates = new ArrayList<>(liveShards(nowMillis));
+		candidates.removeIf((status) -> status.shard().zone().equals(this.self.zone()) == isSameZone);
+		Collections.shuffle(candidates, random);
+		return candidates.subList(0, Math.min(candidates.size(), GOSSIP_SHARDS));
 	}
 
-	private boolean isRecent(Observed<?> entry, long nowMillis) {
-		return nowMillis - entry.atMillis() <= this.failureTimeoutMillis;
+	private boolean isRecent(Observed<?> entry, AvailabilityZone zone, long nowMillis) {
+		int factor = zone.equals(this.self.zone()) ? 1 : OTHER_ZONE_FACTOR;
+		return nowMillis - entry.atMillis() <= this.failureTimeoutMillis * factor;
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -64,6 +64,7 @@
 	private void start() {
 		this.node.start();
 		EntryMetrics metrics = new EntryMetrics();
+		metrics.watch(this.node);
 		Limits limits = new Limits(this.node);
 		this.node.every(LIMITS_MILLIS, limits::tick);
 		ConfigurationPublisher publisher = new ConfigurationPublisher(this.node.log(), this.node.keeper());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -1,15 +1,18 @@
 package org.poplarloom.entry.process;
 
 import java.util.ArrayList;
-import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 
-import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegister;
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.MembershipTable;
+import org.poplarloom.core.process.ShardId;
 import org.poplarloom.core.process.ShardStatus;
 import org.poplarloom.core.version.Configuration;
 import org.poplarloom.core.version.ConfigurationState;
@@ -24,17 +27,22 @@
  * Spreads membership, shard homes, crashes and the configuration's version among
  * instances.
  * <p>
- * Each round goes to a few peers of the zone and one of another zone; a new configuration
- * or zone order starts a round at once. A peer that holds an older configuration fetches
- * the newer one. This class is thread-safe.
+ * Heartbeats go to every instance of the zone; gossip goes to one instance of the zone
+ * and one of another zone, and to everybody at once when there is urgent news. The
+ * periods grow with the zone, so that the bytes an instance sends a second stay bounded.
+ * A peer that holds an older configuration fetches the newer one. This class is
+ * thread-safe.
  */
 public final class Gossiper {
 
-	private static final int ZONE_FANOUT = 3;
+	/** How often {@link #tick()} is due. */
+	public static final long TICK_MILLIS = 500;
 
-	private static final int OTHER_FANOUT = 1;
+	private static final long HEARTBEAT_MILLIS_PER_MEMBER = 40;
 
-	private static final int URGENT_FANOUT = 64;
+	private static final long GOSSIP_MILLIS = 1_000;
+
+	private static final long GOSSIP_MILLIS_PER_MEMBER = 75;
 
 	private static final long FORGET_MILLIS = 120_000;
 
@@ -58,6 +66,12 @@
 
 	private final Random random;
 
+	private final AtomicBoolean fetching = new AtomicBoolean();
+
+	private long heartbeatMillis;
+
+	private long gossipMillis;
+
 	public Gossiper(Settings settings, MembershipTable membership, ConfigurationKeeper keeper, CrashRegister crashes,
 			EndpointDirectory directory, HomeTable homes, Peers peers, Clock clock) {
 		this.settings = settings;
@@ -69,66 +83,94 @@
 		this.peers = peers;
 		this.clock = clock;
 		this.random = new Random(settings.instance().value().hashCode());
-		keeper.listen((state) -> spread(URGENT_FANOUT, URGENT_FANOUT));
+		keeper.listen((state) -> spreadUrgently());
 	}
 
 	/**
-	 * Starts the next regular round.
+	 * Sends heartbeats and gossip that are due.
 	 */
 	public void tick() {
-		this.membership.heartbeat();
-		this.membership.mergeShards(this.homes.statuses(), this.clock.nowMillis());
-		this.membership.forgetSilent(FORGET_MILLIS, this.clock.nowMillis());
-		this.crashes.expire(this.clock.nowMillis());
-		spread(ZONE_FANOUT, OTHER_FANOUT);
+		long now = this.clock.nowMillis();
+		this.membership.mergeShards(this.homes.statuses(), now);
+		this.membership.forgetSilent(FORGET_MILLIS, now);
+		this.crashes.expire(now);
+		List<Member> near = this.membership.live(this.settings.zone(), now);
+		if (now - this.heartbeatMillis >= Math.max(TICK_MILLIS, HEARTBEAT_MILLIS_PER_MEMBER * near.size())
+				- TICK_MILLIS / 2) {
+			this.heartbeatMillis = now;
+			sendHeartbeats(near);
+		}
+		if (now - this.gossipMillis >= Math.max(GOSSIP_MILLIS, GOSSIP_MILLIS_PER_MEMBER * near.size())
+				- TICK_MILLIS / 2) {
+			this.gossipMillis = now;
+			sendGossip();
+		}
 	}
 
-	/**
-	 * Tells as many peers as possible at once, for news that must not wait.
-	 */
-	public void spreadUrgently() {
-		spread(URGENT_FANOUT, URGENT_FANOUT);
+	private void sendHeartbeats(List<Member> near) {
+		Member self = this.membership.heartbeat();
+		List<Message.ShardLoad> loads = new ArrayList<>();
+		for (ShardStatus status : this.homes.statuses()) {
+			loads.add(new Message.ShardLoad(status.shard().index(), status.summary()));
+		}
+		Message heartbeat = new Message.Heartbeat(self.incarnation(), self.heartbeat(),
+				this.keeper.configuration().offset(), this.keeper.configuration().digest(), loads);
+		for (Member member : near) {
+			if (!member.id().equals(self.id())) {
+				this.peers.send(member.id(), member.address(), heartbeat);
+			}
+		}
 	}
 
-	private void spread(int zoneFanout, int otherFanout) {
-		Message.Gossip message = message();
+	private void sendGossip() {
 		List<Target> near = new ArrayList<>();
 		List<Target> far = new ArrayList<>();
 		for (Target target : targets()) {
-			(target.zone().equals(this.settings.zone()) ? near : far).add(target);
+			if (target.isNear()) {
+				near.add(target);
+			}
+			else {
+				far.add(target);
+			}
 		}
-		sendToSome(near, zoneFanout, message);
-		sendToSome(far, otherFanout, message);
+		near.stream().filter((target) -> !target.isKnown()).forEach(this::sendGossip);
+		anyOf(near).ifPresent(this::sendGossip);
+		anyOf(far).ifPresent(this::sendGossip);
 	}
 
-	private synchronized void sendToSome(List<Target> targets, int fanout, Message message) {
-		Collections.shuffle(targets, this.random);
-		for (Target target : targets.subList(0, Math.min(fanout, targets.size()))) {
-			this.peers.send(target.instance(), target.address(), message);
-		}
+	private synchronized Optional<Target> anyOf(List<Target> targets) {
+		return targets.isEmpty() ? Optional.empty() : Optional.of(targets.get(this.random.nextInt(targets.size())));
+	}
+
+	/**
+	 * Tells everybody at once, for news that must not wait.
+	 */
+	public void spreadUrgently() {
+		targets().forEach(this::sendGossip);
+	}
+
+	private void sendGossip(Target target) {
+		this.peers.send(target.instance(), target.address(), message(target.isNear()));
 	}
 
 	private List<Target> targets() {
-		List<Target> targets = new ArrayList<>();
-		List<InstanceId> known = new ArrayList<>();
-		known.add(this.settings.instance());
+		Map<InstanceId, Target> targets = new LinkedHashMap<>();
 		for (Member member : this.membership.allLive(this.clock.nowMillis())) {
-			if (!known.contains(member.id())) {
-				known.add(member.id());
-				targets.add(new Target(member.id(), member.zone(), member.address()));
-			}
+			boolean isNear = member.zone().equals(this.settings.zone());
+			targets.put(member.id(), new Target(member.id(), member.address(), isNear, true));
 		}
 		for (Listed listed : this.directory.listed()) {
-			boolean isEntry = listed.kind().equals(Listed.ENTRY);
-			if (isEntry && !known.contains(InstanceId.of(listed.id()))) {
-				targets
-					.add(new Target(InstanceId.of(listed.id()), AvailabilityZone.of(listed.zone()), listed.address()));
+			if (listed.kind().equals(Listed.ENTRY)) {
+				boolean isNear = listed.zone().equals(this.settings.zone().value());
+				InstanceId id = InstanceId.of(listed.id());
+				targets.putIfAbsent(id, new Target(id, listed.address(), isNear, false));
 			}
 		}
-		return targets;
+		targets.remove(this.settings.instance());
+		return new ArrayList<>(targets.values());
 	}
 
-	private Message.Gossip message() {
+	private Message.Gossip message(boolean isNear) {
 		long now = this.clock.nowMillis();
 		ConfigurationState state = this.keeper.state();
 		List<String> orders = state.unconfirmedOrders().stream().map(Documents::write).toList();
@@ -136,42 +178,74 @@
 		List<ShardStatus> shards;
 		synchronized (this) {
 			members = this.membership.gossipMembers(now, this.random);
-			shards = this.membership.gossipShards(now);
+			shards = this.membership.gossipShards(isNear, now, this.random);
 		}
 		return new Message.Gossip(members, shards, state.configuration().offset(), state.configuration().digest(),
 				orders, this.crashes.entries());
 	}
 
+	/**
+	 * Takes over a heartbeat of a peer in the same zone.
+	 * @param peer the sender
+	 * @param heartbeat the message
+	 */
+	public void receive(InstanceId peer, Message.Heartbeat heartbeat) {
+		long now = this.clock.nowMillis();
+		this.membership.beat(peer, heartbeat.incarnation(), heartbeat.beat(), now).ifPresent((member) -> {
+			List<ShardStatus> statuses = new ArrayList<>();
+			for (Message.ShardLoad load : heartbeat.loads()) {
+				ShardId shard = new ShardId(this.settings.zone(), load.index());
+				statuses.add(new ShardStatus(shard, member.id(), member.address(), now, load.summary()));
+			}
+			this.membership.mergeShards(statuses, now);
+			fetchIfNewer(member, heartbeat.offset());
+		});
+	}
+
 	/**
 	 * Takes over what a peer told.
 	 * @param gossip the message
 	 */
 	public void receive(Message.Gossip gossip) {
+		if (gossip.members().isEmpty()) {
+			return;
+		}
 		long now = this.clock.nowMillis();
+		Member sender = gossip.members().get(0);
+		boolean isNew = !this.membership.isKnown(sender);
 		this.membership.mergeMembers(gossip.members(), now);
 		this.membership.mergeShards(gossip.shards(), now);
 		this.crashes.merge(gossip.crashes());
 		if (!gossip.orders().isEmpty()) {
 			this.keeper.order(gossip.orders().stream().map((json) -> Documents.read(json, ZoneOrder.class)).toList());
 		}
-		if (gossip.offset() > this.keeper.configuration().offset() && !gossip.members().isEmpty()) {
-			fetch(gossip.members().get(0));
+		if (isNew) {
+			boolean isNear = sender.zone().equals(this.settings.zone());
+			sendGossip(new Target(sender.id(), sender.address(), isNear, true));
 		}
+		fetchIfNewer(sender, gossip.offset());
 	}
 
-	private void fetch(Member from) {
+	private void fetchIfNewer(Member from, long offset) {
+		boolean isNewer = offset > this.keeper.configuration().offset();
+		if (!isNewer || !this.fetching.compareAndSet(false, true)) {
+			return;
+		}
 		Message question = new Message.ConfigurationFetch(this.keeper.configuration().offset());
-		this.peers.request(from.id(), from.address(), question, FETCH_TIMEOUT_MILLIS).thenAccept((reply) -> {
-			if (reply instanceof Message.ConfigurationContent content) {
-				this.keeper.replace(Configuration.of(Documents.read(content.snapshot(), Configuration.Snapshot.class)));
-			}
-		});
+		this.peers.request(from.id(), from.address(), question, FETCH_TIMEOUT_MILLIS)
+			.whenComplete((reply, failure) -> this.fetching.set(false))
+			.thenAccept((reply) -> {
+				if (reply instanceof Message.ConfigurationContent content) {
+					this.keeper
+						.replace(Configuration.of(Documents.read(content.snapshot(), Configuration.Snapshot.class)));
+				}
+			});
 	}
 
 	/**
 	 * A peer to send to.
 	 */
-	private record Target(InstanceId instance, AvailabilityZone zone, String address) {
+	private record Target(InstanceId instance, String address, boolean isNear, boolean isKnown) {
 	}
 
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -45,8 +45,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(Node.class);
 
-	private static final long GOSSIP_MILLIS = 500;
-
 	private static final long HOME_TICK_MILLIS = 50;
 
 	private static final long POLL_MILLIS = 500;
@@ -126,7 +124,7 @@
 		this.gossiper = new Gossiper(this.settings, this.membership, this.keeper, this.crashes, this.directory,
 				this.homes, this, this.clock);
 		this.follower.start();
-		every(GOSSIP_MILLIS, this.gossiper::tick);
+		every(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		every(HOME_TICK_MILLIS, this.homes::tick);
 		every(HOME_TICK_MILLIS, this.grants::followHomes);
 		every(POLL_MILLIS, () -> this.homes.poll().subscribe());
@@ -177,7 +175,10 @@
 		if (this.gossiper == null) {
 			return;
 		}
-		if (message instanceof Message.Gossip gossip) {
+		if (message instanceof Message.Heartbeat heartbeat) {
+			this.gossiper.receive(peer, heartbeat);
+		}
+		else if (message instanceof Message.Gossip gossip) {
 			this.gossiper.receive(gossip);
 		}
 		else if (message instanceof Message.GrantAsk ask) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/EntryMetrics.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/EntryMetrics.java
@@ -1,11 +1,15 @@
 package org.poplarloom.entry.request;
 
+import java.lang.management.ManagementFactory;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.sun.management.OperatingSystemMXBean;
 
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.request.LengthClass;
+import org.poplarloom.entry.process.Node;
 
 /**
  * The metrics of one instance.
@@ -14,8 +18,38 @@
  */
 public final class EntryMetrics {
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private final MetricRegistry registry = new MetricRegistry();
 
+	/**
+	 * Adds gauges over the tables of a node.
+	 * @param node the node
+	 */
+	public void watch(Node node) {
+		gauge("peer_sent_bytes_total", () -> node.network().traffic().sentBytes());
+		gauge("peer_sent_messages_total", () -> node.network().traffic().sentMessages());
+		gauge("peer_received_bytes_total", () -> node.network().traffic().receivedBytes());
+		gauge("peer_dropped_messages_total", () -> node.network().traffic().dropped());
+		gauge("configuration_offset", () -> node.keeper().configuration().offset());
+		gauge("live_instances", () -> node.membership().allLive(node.clock().nowMillis()).size());
+		gauge("grants_held", () -> node.grants().heldCount());
+		gauge("log_connected", () -> node.follower().isConnected() ? 1 : 0);
+		gauge("homes", () -> node.homes().homes().size());
+		gauge("queued", () -> node.homes().statuses().stream().mapToInt((status) -> status.summary().queued()).sum());
+		gauge("process_cpu_seconds_total", EntryMetrics::cpuSeconds);
+		gauge("heap_used_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+	}
+
+	private void gauge(String name, Gauge<Number> gauge) {
+		this.registry.register(name, gauge);
+	}
+
+	private static double cpuSeconds() {
+		OperatingSystemMXBean system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+		return system.getProcessCpuTime() / NANOS_PER_SECOND;
+	}
+
 	/**
 	 * Returns the registry.
 	 * @return the registry
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
@@ -102,8 +102,9 @@
 	public Mono<ZoneResult> order(String id, String operator, Change.SetZone change, long nowMillis) {
 		Publication publication = new Publication(id, Publication.ANY_OFFSET, operator, change);
 		return appendAndReadBack(publication)
-			.timeout(ORDER_PATIENCE, Mono.error(new PoplarloomException(ErrorCode.LOG_UNAVAILABLE, Executed.UNKNOWN,
-					"the log does not answer")))
+			.timeout(ORDER_PATIENCE,
+					Mono.error(new PoplarloomException(ErrorCode.LOG_UNAVAILABLE, Executed.UNKNOWN,
+							"the log does not answer")))
 			.map((offset) -> new ZoneResult(offset, true))
 			.onErrorResume(ConfigurationPublisher::isUnavailable, (failure) -> {
 				long known = this.keeper.configuration().offset();
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -6,6 +6,7 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegister;
+import org.poplarloom.core.process.HomeSummary;
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.ShardId;
 import org.poplarloom.core.process.ShardStatus;
@@ -56,6 +57,29 @@
 	record Failure(ErrorCode code, String text) implements Message {
 	}
 
+	/**
+	 * Tells an instance of the same zone that the sender lives, and how loaded its homes
+	 * are.
+	 *
+	 * @param incarnation when the sender's process started, in milliseconds since the
+	 * epoch
+	 * @param beat a counter that grows
+	 * @param offset the offset of the sender's configuration
+	 * @param digest the digest of the sender's configuration
+	 * @param loads the shards of which the sender is the home
+	 */
+	record Heartbeat(long incarnation, long beat, long offset, long digest, List<ShardLoad> loads) implements Message {
+	}
+
+	/**
+	 * The load of one shard of the sender's zone.
+	 *
+	 * @param index the shard
+	 * @param summary the load
+	 */
+	record ShardLoad(int index, HomeSummary summary) {
+	}
+
 	/**
 	 * Spreads membership, shard homes and the configuration's version.
 	 *
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.lang.invoke.MethodHandle;
 import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
 import java.lang.reflect.Constructor;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
@@ -36,6 +37,10 @@
 
 	private static final int DEEPEST_NESTING = 16;
 
+	private static final MethodType ACCESSOR_TYPE = MethodType.methodType(Object.class, Object.class);
+
+	private static final MethodType CONSTRUCTOR_TYPE = MethodType.methodType(Object.class, Object[].class);
+
 	private static final Map<Class<?>, Shape> SHAPES = new ConcurrentHashMap<>();
 
 	private RecordCodec() {
@@ -213,12 +218,17 @@
 				for (int i = 0; i < components.length; i++) {
 					types[i] = components[i].getGenericType();
 					raw[i] = components[i].getType();
-					accessors[i] = MethodHandles.publicLookup().unreflect(components[i].getAccessor());
+					accessors[i] = MethodHandles.publicLookup()
+						.unreflect(components[i].getAccessor())
+						.asType(ACCESSOR_TYPE);
 				}
 				Constructor<?> constructor = type.getConstructor(raw);
 				boolean isPlain = components.length == 1 && components[0].getName().equals("value");
-				return new Shape(types, accessors, MethodHandles.publicLookup().unreflectConstructor(constructor),
-						isPlain);
+				MethodHandle spreading = MethodHandles.publicLookup()
+					.unreflectConstructor(constructor)
+					.asSpreader(Object[].class, components.length)
+					.asType(CONSTRUCTOR_TYPE);
+				return new Shape(types, accessors, spreading, isPlain);
 			}
 			catch (ReflectiveOperationException ex) {
 				throw new IllegalArgumentException(type.getName() + " cannot be read", ex);
@@ -227,7 +237,7 @@
 
 		Object read(Object value, int index) {
 			try {
-				return this.accessors[index].invoke(value);
+				return (Object) this.accessors[index].invokeExact(value);
 			}
 			catch (Throwable ex) {
 				throw new IllegalStateException("cannot read component " + index, ex);
@@ -236,7 +246,7 @@
 
 		Object create(Object[] values) {
 			try {
-				return this.constructor.invokeWithArguments(values);
+				return (Object) this.constructor.invokeExact(values);
 			}
 			catch (PoplarloomException ex) {
 				throw badFrame(ex.getMessage());
