--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -7,6 +7,7 @@
 
 import com.beust.jcommander.JCommander;
 
+import org.poplarloom.bench.capacity.FleetExperiment;
 import org.poplarloom.bench.capacity.SlopeExperiment;
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
@@ -22,7 +23,11 @@
 	private static final int EXIT_USAGE = 2;
 
 	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(Map.of("slowdown",
-			Bench::slowdown, "zone", Bench::zone, "capacity", (options) -> new SlopeExperiment().run()));
+			Bench::slowdown, "zone", Bench::zone, "capacity", Bench::capacity, "fleet", Bench::fleet));
+
+	private static final int[] FLEET_SIZES = { 3, 9, 18, 27 };
+
+	private static final double LONGEST_FLEET_SECONDS = 30;
 
 	private Bench() {
 	}
@@ -59,4 +64,12 @@
 		return new ZoneExperiment(options.seed(), options.seconds()).run();
 	}
 
+	private static Report capacity(BenchOptions options) {
+		return new SlopeExperiment().run();
+	}
+
+	private static Report fleet(BenchOptions options) {
+		return new FleetExperiment(FLEET_SIZES, Math.min(options.seconds(), LONGEST_FLEET_SECONDS)).run();
+	}
+
 }
--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/FleetExperiment.java
@@ -0,0 +1,235 @@
+package org.poplarloom.bench.capacity;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.poplarloom.bench.Report;
+import org.poplarloom.bench.demo.LocalSystem;
+import org.poplarloom.bench.demo.SampleContracts;
+import org.poplarloom.core.version.Change;
+import org.poplarloom.core.version.Documents;
+import org.poplarloom.core.version.Publication;
+import org.poplarloom.entry.Poplarloom;
+import org.poplarloom.entry.SettingsReader;
+import org.poplarloom.entry.version.ConfigurationStream;
+import org.poplarloom.entry.version.ConfigurationStream.StreamRecord;
+import org.poplarloom.standin.engine.EngineSettings;
+import org.poplarloom.standin.http.EngineStandIn;
+import org.poplarloom.standin.http.InstanceListStandIn;
+import org.poplarloom.standin.http.LogStandIn;
+
+/**
+ * Starts real daemon processes in three zones without load and measures what control
+ * costs each.
+ * <p>
+ * Only processes that this experiment started are ended, by their handles. This class is
+ * not thread-safe.
+ */
+public final class FleetExperiment {
+
+	private static final List<String> ZONES = List.of("gijon", "santander", "bilbao");
+
+	private static final int FIRST_PORT = 21_000;
+
+	private static final int ENGINES_PER_ZONE = 7;
+
+	private static final long SETTLE_MILLIS = 25_000;
+
+	private static final long READY_MILLIS = 120_000;
+
+	private static final long POLL_MILLIS = 250;
+
+	private static final double KILOBYTE = 1_024;
+
+	private final int[] sizes;
+
+	private final double seconds;
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private final Report report = new Report("fleet", "daemons", "per_zone", "cpu_percent_of_core", "peer_sent_bytes_s",
+			"peer_received_bytes_s", "peer_messages_s", "heap_mb", "rss_mb", "change_in_force_ms");
+
+	/**
+	 * Creates the experiment.
+	 * @param sizes numbers of daemons per zone
+	 * @param seconds how long to measure each
+	 */
+	public FleetExperiment(int[] sizes, double seconds) {
+		this.sizes = sizes;
+		this.seconds = seconds;
+	}
+
+	/**
+	 * Measures all sizes.
+	 * @return the table
+	 */
+	public Report run() {
+		for (int size : this.sizes) {
+			measure(size);
+		}
+		return this.report;
+	}
+
+	private void measure(int perZone) {
+		List<Process> processes = new ArrayList<>();
+		try (LogStandIn log = new LogStandIn(0); InstanceListStandIn list = new InstanceListStandIn(0)) {
+			log.start();
+			list.start();
+			SampleContracts.generous()
+				.forEach((contract) -> publish(log, "c" + contract.team(), new Change.PutContract(contract)));
+			List<EngineStandIn> engines = startEngines(list);
+			int daemons = perZone * ZONES.size();
+			for (int i = 0; i < daemons; i++) {
+				processes.add(startDaemon(i, log, list));
+			}
+			awaitLive(daemons);
+			LocalSystem.pause(SETTLE_MILLIS);
+			add(perZone, processes, log);
+			engines.forEach(EngineStandIn::close);
+		}
+		finally {
+			processes.forEach(Process::destroy);
+			processes.forEach((process) -> process.onExit().join());
+		}
+	}
+
+	private static void publish(LogStandIn log, String id, Change change) {
+		Publication publication = new Publication(id, Publication.ANY_OFFSET, "bench", change);
+		log.append(ConfigurationStream.NAME, StreamRecord.of(publication).stream().map(Documents::write).toList());
+	}
+
+	private static List<EngineStandIn> startEngines(InstanceListStandIn list) {
+		List<EngineStandIn> engines = new ArrayList<>();
+		for (String zone : ZONES) {
+			for (int i = 0; i < ENGINES_PER_ZONE; i++) {
+				String id = zone + "-engine-" + i;
+				EngineStandIn engine = new EngineStandIn(id, 0, EngineSettings.DEFAULT, List.of(LocalSystem.MODEL));
+				engine.start();
+				list.put(new InstanceListStandIn.Entry(id, "engine", zone, engine.address(), false));
+				engines.add(engine);
+			}
+		}
+		return engines;
+	}
+
+	private Process startDaemon(int index, LogStandIn log, InstanceListStandIn list) {
+		String zone = ZONES.get(index % ZONES.size());
+		String id = zone + "-entry-" + index;
+		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+		int httpPort = FIRST_PORT + 2 * index;
+		int peerPort = httpPort + 1;
+		ProcessBuilder builder = new ProcessBuilder(java, "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+				"-cp", System.getProperty("java.class.path"), Poplarloom.class.getName(), "--instance", id, "--zone",
+				zone, "--http-port", Integer.toString(httpPort), "--peer-port", Integer.toString(peerPort),
+				"--log-address", log.address(), "--list-address", list.address());
+		Map<String, String> environment = builder.environment();
+		environment.put(SettingsReader.PEER_KEY, "peer-key-0123456789abcdef");
+		environment.put(SettingsReader.OPERATOR_TOKEN, LocalSystem.OPERATOR_TOKEN);
+		builder.redirectErrorStream(true);
+		builder.redirectOutput(ProcessBuilder.Redirect.to(new File("/dev/null")));
+		list.put(new InstanceListStandIn.Entry(id, "entry", zone, "127.0.0.1:" + peerPort, false));
+		try {
+			return builder.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void awaitLive(int daemons) {
+		long end = System.currentTimeMillis() + READY_MILLIS;
+		for (int i = 0; i < daemons; i++) {
+			while (metric(i, "poplarloom_live_instances") < daemons) {
+				if (System.currentTimeMillis() > end) {
+					throw new IllegalStateException("daemon " + i + " does not see " + daemons + " instances");
+				}
+				LocalSystem.pause(POLL_MILLIS);
+			}
+		}
+	}
+
+	private double metric(int daemon, String name) {
+		URI uri = URI.create("http://127.0.0.1:" + (FIRST_PORT + 2 * daemon) + "/metrics");
+		try {
+			HttpResponse<String> response = this.client.send(HttpRequest.newBuilder(uri).build(),
+					HttpResponse.BodyHandlers.ofString());
+			return response.body()
+				.lines()
+				.filter((line) -> line.startsWith(name + " "))
+				.mapToDouble((line) -> Double.parseDouble(line.substring(name.length() + 1)))
+				.findFirst()
+				.orElse(0);
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+	}
+
+	private double sum(int daemons, String name) {
+		double sum = 0;
+		for (int i = 0; i < daemons; i++) {
+			sum += metric(i, name);
+		}
+		return sum;
+	}
+
+	private void add(int perZone, List<Process> processes, LogStandIn log) {
+		int daemons = processes.size();
+		double cpu = sum(daemons, "poplarloom_process_cpu_seconds_total");
+		double sent = sum(daemons, "poplarloom_peer_sent_bytes_total");
+		double received = sum(daemons, "poplarloom_peer_received_bytes_total");
+		double messages = sum(daemons, "poplarloom_peer_sent_messages_total");
+		long start = System.nanoTime();
+		LocalSystem.pause((long) (this.seconds * 1_000));
+		double elapsed = (System.nanoTime() - start) / 1e9 * daemons;
+		cpu = (sum(daemons, "poplarloom_process_cpu_seconds_total") - cpu) / elapsed * 100;
+		sent = (sum(daemons, "poplarloom_peer_sent_bytes_total") - sent) / elapsed;
+		received = (sum(daemons, "poplarloom_peer_received_bytes_total") - received) / elapsed;
+		messages = (sum(daemons, "poplarloom_peer_sent_messages_total") - messages) / elapsed;
+		double heap = sum(daemons, "poplarloom_heap_used_bytes") / daemons / KILOBYTE / KILOBYTE;
+		double rss = processes.stream().mapToDouble(FleetExperiment::rssMegabytes).average().orElse(0);
+		this.report.add(daemons, perZone, cpu, sent, received, messages, heap, rss, changeMillis(daemons, log));
+	}
+
+	private double changeMillis(int daemons, LogStandIn log) {
+		double before = metric(0, "poplarloom_configuration_offset");
+		long start = System.nanoTime();
+		publish(log, "x" + start, new Change.SetZone(org.poplarloom.core.AvailabilityZone.of("other"), true));
+		for (int i = 0; i < daemons; i++) {
+			while (metric(i, "poplarloom_configuration_offset") <= before) {
+				LocalSystem.pause(1);
+			}
+		}
+		return (System.nanoTime() - start) / 1e6;
+	}
+
+	private static double rssMegabytes(Process process) {
+		try {
+			return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))
+				.stream()
+				.filter((line) -> line.startsWith("VmRSS:"))
+				.mapToDouble((line) -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KILOBYTE)
+				.findFirst()
+				.orElse(0);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/VirtualEngine.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/decision/VirtualEngine.java
@@ -75,7 +75,7 @@
 		if (listener == null) {
 			return;
 		}
-		if (sequence.isFinished()) {
+		if (sequence.isFinished() && !sequence.isParked()) {
 			this.listeners.remove(sequence.id());
 		}
 		listener.token(sequence);
@@ -112,7 +112,8 @@
 	EndpointReport report(int parts) {
 		return new EndpointReport(this.id, this.id + "-" + this.model.boots(), !isUp(), Set.of("model"),
 				Math.max(1, this.settings.slots() / parts), this.settings.kvTokens() / parts,
-				this.settings.sustainedTokensPerSecond(), 0, this.time.nowMillis() - this.model.startedMillis());
+				this.settings.sustainedTokensPerSecond(), 0, this.time.nowMillis() - this.model.startedMillis(),
+				Set.of(), this.time.nowMillis());
 	}
 
 	EndpointId id() {
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/demo/LocalSystem.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/demo/LocalSystem.java
@@ -8,6 +8,7 @@
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.usage.OwnerKey;
 import org.poplarloom.core.version.Change;
 import org.poplarloom.core.version.Contract;
 import org.poplarloom.core.version.Documents;
@@ -39,6 +40,11 @@
 	/** The name of the plain service. */
 	public static final String SERVICE = "rehandle";
 
+	/** The pair of keys with which the daemons sign their books. */
+	public static final OwnerKey.Pair OWNER_KEYS = OwnerKey.generate();
+
+	private static final OwnerKey OWNER_KEY = OwnerKey.parse("ashwell", OWNER_KEYS.privateKey());
+
 	private static final String PEER_KEY = "peer-key-0123456789abcdef";
 
 	private static final long READY_TIMEOUT_MILLIS = 30_000;
@@ -120,7 +126,8 @@
 		Settings settings = new Settings(InstanceId.of(id), AvailabilityZone.of(zone), "127.0.0.1",
 				this.layout.firstHttpPort() + ((this.layout.firstHttpPort() == 0) ? 0 : this.daemons.size()), 0,
 				this.log.address(), this.list.address(), PEER_KEY, OPERATOR_TOKEN, 1,
-				this.layout.failureTimeoutMillis(), this.layout.settleMillis(), this.layout.ramp(), 1L << 30, 60_000);
+				this.layout.failureTimeoutMillis(), this.layout.settleMillis(), this.layout.ramp(), 1L << 30, 60_000,
+				OWNER_KEY);
 		Daemon daemon = Daemon.start(settings);
 		this.daemons.put(id, daemon);
 		this.list.put(new InstanceListStandIn.Entry(id, "entry", zone, daemon.peerAddress(), false));
@@ -142,7 +149,7 @@
 		return this.daemons.values()
 			.stream()
 			.allMatch((daemon) -> daemon.notReadyReason().isEmpty()
-					&& daemon.node().membership().allLive(now).size() == this.daemons.size()
+					&& daemon.node().instances().all().size() == this.daemons.size()
 					&& daemon.node().membership().liveShards(now).size() == this.layout.zones().size()
 					&& daemon.node()
 						.membership()
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -22,6 +22,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1000.0;
 
+	private static final long ORPHAN_GRACE_MILLIS = 3_000;
+
+	private static final long BUSY_POLL_MILLIS = 5_000;
+
+	private static final long IDLE_POLL_MILLIS = 500;
+
 	private static final int SLOW_FIRST_TOKENS_UNTIL_COLD = 3;
 
 	private static final double SLOW_FIRST_TOKEN_RATIO = 4;
@@ -30,6 +36,8 @@
 
 	private final Map<String, Hold> holds = new HashMap<>();
 
+	private final Map<String, Long> orphans = new HashMap<>();
+
 	private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
 
 	private final ColdStartRamp ramp;
@@ -44,7 +52,9 @@
 
 	private boolean isolated;
 
-	private boolean unconfirmed;
+	private long doubtedMillis = Long.MIN_VALUE / 2;
+
+	private long pollStartedMillis = Long.MIN_VALUE / 2;
 
 	private int slowFirstTokens;
 
@@ -134,7 +144,7 @@
 	 * @return true if the endpoint takes it
 	 */
 	public boolean admits(GrantRequest request, long nowMillis) {
-		if (!mayServe(request) || this.unconfirmed || this.isolated) {
+		if (!mayServe(request) || isDoubted() || this.isolated) {
 			return false;
 		}
 		if (request.isIsolated()) {
@@ -244,10 +254,34 @@
 	List<String> observe(EndpointReport next, long nowMillis) {
 		boolean hasRestarted = !next.bootId().equals(this.report.bootId());
 		this.report = next;
-		this.unconfirmed = false;
+		noteOrphans(nowMillis);
 		return hasRestarted ? restart(nowMillis) : List.of();
 	}
 
+	private void noteOrphans(long nowMillis) {
+		this.orphans.keySet().retainAll(this.report.handles());
+		this.orphans.keySet().removeAll(this.holds.keySet());
+		for (String handle : this.report.handles()) {
+			if (!this.holds.containsKey(handle)) {
+				this.orphans.putIfAbsent(handle, nowMillis);
+			}
+		}
+	}
+
+	/**
+	 * Returns the parts of prompts that the endpoint holds and nobody has a grant for.
+	 * @param nowMillis the time in milliseconds
+	 * @return the identities of their grants
+	 */
+	List<String> orphans(long nowMillis) {
+		return this.orphans.entrySet()
+			.stream()
+			.filter((entry) -> nowMillis - entry.getValue() >= ORPHAN_GRACE_MILLIS
+					&& !this.holds.containsKey(entry.getKey()))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
 	/**
 	 * Drops to the ramp's floor and forgets what the endpoint's process held.
 	 * @param nowMillis the time in milliseconds
@@ -261,8 +295,30 @@
 		return lost;
 	}
 
-	void doubt() {
-		this.unconfirmed = true;
+	/**
+	 * Says whether the endpoint should be asked for a report, and if so counts it as
+	 * asked.
+	 * <p>
+	 * A busy endpoint shows a restart by breaking its streams, so it is asked seldom.
+	 * @param nowMillis the time in milliseconds
+	 * @return true if the last report is too old or a request has failed
+	 */
+	boolean startPollIfDue(long nowMillis) {
+		boolean isBusy = running() > 0 && this.orphans.isEmpty() && isWarm(nowMillis);
+		long period = isBusy ? BUSY_POLL_MILLIS : IDLE_POLL_MILLIS;
+		boolean isDue = isDoubted() || nowMillis - this.pollStartedMillis >= period;
+		if (isDue) {
+			this.pollStartedMillis = nowMillis;
+		}
+		return isDue;
+	}
+
+	void doubt(long nowMillis) {
+		this.doubtedMillis = nowMillis;
+	}
+
+	private boolean isDoubted() {
+		return this.report.takenMillis() <= this.doubtedMillis;
 	}
 
 	void ramp(long nowMillis) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointReport.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointReport.java
@@ -18,12 +18,36 @@
  * @param prefillTokensPerSecond the prefill rate
  * @param highestFence the highest fence number that the endpoint has seen
  * @param uptimeMillis the time since its start in milliseconds
+ * @param handles the parts of larger prompts that the endpoint holds
+ * @param takenMillis when it was asked for, by the local clock in milliseconds
  */
 public record EndpointReport(EndpointId endpoint, String bootId, boolean isLeaving, Set<String> models, int slots,
-		long kvTokens, double prefillTokensPerSecond, long highestFence, long uptimeMillis) {
+		long kvTokens, double prefillTokensPerSecond, long highestFence, long uptimeMillis, Set<String> handles,
+		long takenMillis) {
 
 	public EndpointReport {
 		models = Set.copyOf(models);
+		handles = Set.copyOf(handles);
+	}
+
+	/**
+	 * Returns the report with another time.
+	 * @param newTakenMillis when it was asked for, by the local clock in milliseconds
+	 * @return the report
+	 */
+	public EndpointReport withTakenMillis(long newTakenMillis) {
+		return new EndpointReport(this.endpoint, this.bootId, this.isLeaving, this.models, this.slots, this.kvTokens,
+				this.prefillTokensPerSecond, this.highestFence, this.uptimeMillis, this.handles, newTakenMillis);
+	}
+
+	/**
+	 * Returns the report of an endpoint that the platform is about to stop or that cannot
+	 * be reached.
+	 * @return the report
+	 */
+	public EndpointReport withLeaving() {
+		return new EndpointReport(this.endpoint, this.bootId, true, this.models, this.slots, this.kvTokens,
+				this.prefillTokensPerSecond, this.highestFence, this.uptimeMillis, this.handles, this.takenMillis);
 	}
 
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -15,12 +15,12 @@
 import org.poplarloom.core.InstanceId;
 
 /**
- * The instances and shard homes that an instance knows, spread by gossip.
+ * The instances of the zone and the shard homes that an instance knows.
  * <p>
- * A member is live while its heartbeat has grown within the failure timeout, judged by
- * the local clock alone; members of other zones have four times as long. News of an
- * instance is replaced only by newer news. This class is thread-safe; one lock guards its
- * tables and no other lock is taken while it is held.
+ * Only members of the own zone are kept. A member is live while its heartbeat has grown
+ * within the failure timeout, judged by the local clock alone. News of an instance is
+ * replaced only by newer news. This class is thread-safe; one lock guards its tables and
+ * no other lock is taken while it is held.
  */
 public final class MembershipTable {
 
@@ -30,7 +30,9 @@
 	/** The most shard statuses in one gossip message. */
 	public static final int GOSSIP_SHARDS = 6;
 
-	/** How much longer news from other zones stays valid, as they come less often. */
+	/**
+	 * How much longer shard statuses of other zones stay valid, as they come less often.
+	 */
 	private static final int OTHER_ZONE_FACTOR = 4;
 
 	private final long failureTimeoutMillis;
@@ -88,8 +90,8 @@
 	public synchronized void mergeMembers(Collection<Member> news, long nowMillis) {
 		for (Member member : news) {
 			Observed<Member> known = this.members.get(member.id());
-			boolean isSelf = member.id().equals(this.self.id());
-			if (!isSelf && (known == null || member.isNewerThan(known.value()))) {
+			boolean isOther = !member.id().equals(this.self.id()) && member.zone().equals(this.self.zone());
+			if (isOther && (known == null || member.isNewerThan(known.value()))) {
 				this.members.put(member.id(), new Observed<>(member, nowMillis));
 			}
 		}
@@ -162,7 +164,7 @@
 	}
 
 	/**
-	 * Returns all live members, with the local instance.
+	 * Returns all live members, with the local instance and those shutting down.
 	 * @param nowMillis the local time in milliseconds
 	 * @return the members in ascending order
 	 */
@@ -212,7 +214,7 @@
 	 */
 	public synchronized List<Member> gossipMembers(long nowMillis, Random random) {
 		List<Member> others = new ArrayList<>(allLive(nowMillis));
-		others.removeIf((member) -> member.id().equals(this.self.id()) || !member.zone().equals(this.self.zone()));
+		others.removeIf((member) -> member.id().equals(this.self.id()));
 		Collections.shuffle(others, random);
 		List<Member> chosen = new ArrayList<>();
 		chosen.add(this.self);
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -399,18 +399,37 @@
 		ledger.observe(report, nowMillis).forEach(this::free);
 	}
 
+	/**
+	 * Says whether an endpoint should be asked for a report, and if so counts it as
+	 * asked.
+	 * @param endpoint the endpoint
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return true if the last report is too old or a request has failed
+	 */
+	public boolean isPollDue(EndpointId endpoint, long nowMillis) {
+		this.lock.lock();
+		try {
+			EndpointLedger ledger = this.ledgers.get(endpoint);
+			return ledger == null || ledger.startPollIfDue(nowMillis);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Stops granting an endpoint on which a request has failed until its next report.
 	 * <p>
 	 * If that report shows a restart, the endpoint's grants are lost and it ramps up.
 	 * @param endpoint the endpoint
+	 * @param nowMillis the time in milliseconds since the epoch
 	 */
-	public void doubt(EndpointId endpoint) {
+	public void doubt(EndpointId endpoint, long nowMillis) {
 		this.lock.lock();
 		try {
 			EndpointLedger ledger = this.ledgers.get(endpoint);
 			if (ledger != null) {
-				ledger.doubt();
+				ledger.doubt(nowMillis);
 			}
 		}
 		finally {
@@ -498,6 +517,43 @@
 		}
 	}
 
+	/**
+	 * Returns the parts of prompts that endpoints hold and nobody has had a grant for
+	 * since a while.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the endpoints and the identities of the grants
+	 */
+	public List<Orphan> orphans(long nowMillis) {
+		this.lock.lock();
+		try {
+			if (nowMillis < this.settledMillis) {
+				return List.of();
+			}
+			List<Orphan> orphans = new ArrayList<>();
+			for (EndpointLedger ledger : this.ledgerList) {
+				ledger.orphans(nowMillis).forEach((key) -> orphans.add(new Orphan(ledger.endpoint(), key)));
+			}
+			return orphans;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Returns the endpoints of the shard.
+	 * @return the endpoints in ascending order
+	 */
+	public List<EndpointId> endpoints() {
+		this.lock.lock();
+		try {
+			return List.copyOf(this.ledgers.keySet());
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Returns the number of requests granted on an endpoint.
 	 * @param endpoint the endpoint
@@ -514,6 +570,15 @@
 		}
 	}
 
+	/**
+	 * A part of a prompt that an endpoint holds and nobody has a grant for.
+	 *
+	 * @param endpoint the endpoint
+	 * @param key the identity of the grant that it was held for
+	 */
+	public record Orphan(EndpointId endpoint, String key) {
+	}
+
 	/**
 	 * A grant and its holder.
 	 */
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/usage/UsageAudit.java
@@ -0,0 +1,151 @@
+package org.poplarloom.core.usage;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Findings;
+
+/**
+ * Checks published pages and compares the two views of what was used.
+ * <p>
+ * Every page that is changed, missing, unsigned or lower than an earlier one is named,
+ * and so is every line on which callers' and endpoints' books differ. This class is not
+ * thread-safe.
+ */
+public final class UsageAudit {
+
+	private final Map<String, Map<Long, UsagePage>> chains = new TreeMap<>();
+
+	private final Map<String, List<String>> publicKeys;
+
+	private final Findings findings = new Findings();
+
+	/**
+	 * Creates an audit.
+	 * @param publicKeys the public keys of each owner in Base64, old ones included
+	 */
+	public UsageAudit(Map<String, List<String>> publicKeys) {
+		this.publicKeys = Map.copyOf(publicKeys);
+	}
+
+	/**
+	 * Adds a page; the same page may be added again.
+	 * @param page the page
+	 */
+	public void add(UsagePage page) {
+		UsagePage known = this.chains.computeIfAbsent(page.chain(), (key) -> new TreeMap<>())
+			.putIfAbsent(page.sequence(), page);
+		if (known != null && !known.equals(page)) {
+			mismatch(page, "was published with two contents");
+		}
+	}
+
+	private void mismatch(UsagePage page, String problem) {
+		this.findings.add(page.chain() + " page " + page.sequence(), ErrorCode.BOOK_MISMATCH, problem);
+	}
+
+	/**
+	 * Sums up what was used.
+	 * @param kind whose view
+	 * @return the totals by key; the highest total of each source counts once
+	 */
+	public Map<UsageBook.Key, UsageBook.Totals> totals(UsagePage.Kind kind) {
+		Map<String, UsageBook.Line> highest = new HashMap<>();
+		for (Map<Long, UsagePage> chain : this.chains.values()) {
+			for (UsagePage page : chain.values()) {
+				if (page.kind() == kind) {
+					page.lines()
+						.forEach((line) -> highest.merge(line.source() + "@" + line.key(), line, UsageAudit::higher));
+				}
+			}
+		}
+		Map<UsageBook.Key, UsageBook.Totals> sums = new TreeMap<>();
+		highest.values().forEach((line) -> sums.merge(line.key(), line.totals(), UsageBook.Totals::plus));
+		return sums;
+	}
+
+	private static UsageBook.Line higher(UsageBook.Line first, UsageBook.Line second) {
+		return new UsageBook.Line(first.source(), first.key(), first.totals().max(second.totals()));
+	}
+
+	/**
+	 * Checks every chain and compares the books of closed periods.
+	 * @param closedBeforeMillis periods that started earlier are compared, in
+	 * milliseconds since the epoch
+	 * @return what was found
+	 */
+	public Findings verify(long closedBeforeMillis) {
+		this.chains.values().forEach((chain) -> verifyChain(new ArrayList<>(chain.values())));
+		compare(closedBeforeMillis);
+		return this.findings;
+	}
+
+	private void verifyChain(List<UsagePage> pages) {
+		pages.sort(Comparator.comparingLong(UsagePage::sequence));
+		Map<String, UsageBook.Totals> latest = new HashMap<>();
+		UsagePage previous = null;
+		for (UsagePage page : pages) {
+			verifyPage(page);
+			verifyLink(previous, page);
+			for (UsageBook.Line line : page.lines()) {
+				UsageBook.Totals before = latest.put(line.source() + "@" + line.key(), line.totals());
+				if (before != null && line.totals().isLowerThan(before)) {
+					mismatch(page, "lowers " + line.key() + " from " + before + " to " + line.totals());
+				}
+			}
+			previous = page;
+		}
+	}
+
+	private void verifyPage(UsagePage page) {
+		if (!page.computeHash().equals(page.hash())) {
+			mismatch(page, "was changed after it was written: its hash does not match");
+		}
+		if (this.publicKeys.isEmpty()) {
+			return;
+		}
+		List<String> keys = this.publicKeys.getOrDefault(page.signer(), List.of());
+		boolean isSigned = keys.stream().anyMatch((key) -> OwnerKey.isSigned(page.hash(), page.signature(), key));
+		if (!isSigned) {
+			mismatch(page, "is not signed with a known key of '" + page.signer() + "'");
+		}
+	}
+
+	private void verifyLink(UsagePage previous, UsagePage page) {
+		long expected = (previous != null) ? previous.sequence() + 1 : 0;
+		if (page.sequence() != expected) {
+			mismatch(page, "pages " + expected + " to " + (page.sequence() - 1) + " are missing");
+		}
+		else if (previous != null && !page.previousHash().equals(previous.hash())) {
+			mismatch(page, "does not follow the page before: one of them was replaced");
+		}
+	}
+
+	private void compare(long closedBeforeMillis) {
+		Map<UsageBook.Key, UsageBook.Totals> callers = totals(UsagePage.Kind.CALLER);
+		Map<UsageBook.Key, UsageBook.Totals> endpoints = totals(UsagePage.Kind.ENDPOINT);
+		TreeSet<UsageBook.Key> keys = new TreeSet<>(callers.keySet());
+		keys.addAll(endpoints.keySet());
+		for (UsageBook.Key key : keys) {
+			UsageBook.Totals used = callers.getOrDefault(key, UsageBook.Totals.ZERO);
+			UsageBook.Totals ran = endpoints.getOrDefault(key, UsageBook.Totals.ZERO);
+			if (key.isReported() && key.periodMillis() < closedBeforeMillis && !used.equals(ran)) {
+				this.findings.add(place(key), ErrorCode.BOOK_MISMATCH,
+						"callers' books say " + used + ", endpoints' books say " + ran);
+			}
+		}
+	}
+
+	private static String place(UsageBook.Key key) {
+		return "owner " + key.owner() + ", team " + key.team() + ", model " + key.model() + ", endpoint "
+				+ key.endpoint() + ", period " + Instant.ofEpochMilli(key.periodMillis());
+	}
+
+}
--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/Commands.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/Commands.java
@@ -45,6 +45,7 @@
 			case "endpoint" -> print(this.client.get("/endpoints"), "id", "kind", "zone", "address", "isLeaving");
 			case "status" -> status();
 			case "orders" -> orders();
+			case "usage" -> new UsageCommand(this.options, this.client, this.out).run();
 			default -> throw usage("unknown command '" + this.options.word(0) + "'");
 		}
 	}
--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/CtlOptions.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/CtlOptions.java
@@ -37,6 +37,12 @@
 	@Parameter(names = "--period", description = "Accounting period, such as 2026-12-04T10")
 	private String period = "";
 
+	@Parameter(names = "--owner-key", description = "OWNER=KEY: public key of an owner; give it again for more keys")
+	private List<String> ownerKeys = new ArrayList<>();
+
+	@Parameter(names = "--open", description = "Compare the books of periods that are still open, too")
+	private boolean open;
+
 	@Parameter(names = "--model-version", description = "Model version for orders")
 	private String modelVersion = "";
 
@@ -88,6 +94,14 @@
 		return this.period;
 	}
 
+	List<String> ownerKeys() {
+		return this.ownerKeys;
+	}
+
+	boolean isOpen() {
+		return this.open;
+	}
+
 	String modelVersion() {
 		return this.modelVersion;
 	}
--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
@@ -7,6 +7,7 @@
 import io.micronaut.http.client.exceptions.HttpClientException;
 
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.usage.OwnerKey;
 
 /**
  * The operators' client.
@@ -64,6 +65,12 @@
 			System.out.println("poplarloomctl " + ((version != null) ? version : "development"));
 			return 0;
 		}
+		if (options.word(0).equals("keys")) {
+			OwnerKey.Pair pair = OwnerKey.generate();
+			System.out.println("private key, for POPLARLOOM_OWNER_KEY: " + pair.privateKey());
+			System.out.println("public key, for --owner-key: " + pair.publicKey());
+			return 0;
+		}
 		return execute(options);
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Options.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Options.java
@@ -62,6 +62,9 @@
 	@Parameter(names = "--drain-ms", description = "Longest graceful shutdown, in milliseconds")
 	private String drainMillis = "600000";
 
+	@Parameter(names = "--owner", description = "Fleet owner that signs the books of this instance")
+	private String owner = "";
+
 	@Parameter(names = "--log-format", description = "Form of the program's log: human or json")
 	private String logFormat = "human";
 
@@ -155,6 +158,10 @@
 		return this.drainMillis;
 	}
 
+	String owner() {
+		return this.owner;
+	}
+
 	/**
 	 * Returns the form of the program's log.
 	 * @return {@code human} or {@code json}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
@@ -3,6 +3,7 @@
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.usage.OwnerKey;
 
 /**
  * The checked settings of one daemon.
@@ -25,11 +26,12 @@
  * @param ramp how endpoints that have just started are loaded
  * @param bodyBudgetBytes the most request bytes held at one time
  * @param drainMillis the longest graceful shutdown in milliseconds
+ * @param ownerKey the key with which the instance signs its books
  */
 public record Settings(InstanceId instance, AvailabilityZone zone, String host, int httpPort, int peerPort,
 		String logAddress, String listAddress, String peerKey, String operatorToken, int shardsPerZone,
 		long failureTimeoutMillis, long settleMillis, ColdStartRamp.Settings ramp, long bodyBudgetBytes,
-		long drainMillis) {
+		long drainMillis, OwnerKey ownerKey) {
 
 	@Override
 	public String toString() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -9,6 +9,7 @@
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.usage.OwnerKey;
 
 /**
  * Checks flags and environment variables and makes settings of them.
@@ -24,6 +25,9 @@
 	/** The environment variable with the secret that operators show. */
 	public static final String OPERATOR_TOKEN = "POPLARLOOM_OPERATOR_TOKEN";
 
+	/** The environment variable with the owner's private key. */
+	public static final String OWNER_KEY = "POPLARLOOM_OWNER_KEY";
+
 	private static final int SHORTEST_SECRET = 16;
 
 	private static final int HIGHEST_PORT = 65_535;
@@ -63,6 +67,7 @@
 		long step = millis("--ramp-step-ms", options.rampStepMillis());
 		long budget = number("--body-budget-bytes", options.bodyBudgetBytes(), 1, MOST_BYTES);
 		long drain = millis("--drain-ms", options.drainMillis());
+		OwnerKey ownerKey = ownerKey(options.owner(), environment.getOrDefault(OWNER_KEY, ""));
 		if (!options.logFormat().equals("human") && !options.logFormat().equals("json")) {
 			invalid("--log-format", "must be human or json", options.logFormat());
 		}
@@ -70,7 +75,8 @@
 			return null;
 		}
 		return new Settings(instance, zone, options.host(), httpPort, peerPort, logAddress, listAddress, peerKey,
-				operatorToken, shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), budget, drain);
+				operatorToken, shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), budget, drain,
+				ownerKey);
 	}
 
 	private <T> T identifier(String flag, String value, Function<String, T> parser) {
@@ -102,6 +108,19 @@
 		}
 	}
 
+	private OwnerKey ownerKey(String owner, String key) {
+		if (owner.isEmpty() && key.isEmpty()) {
+			return OwnerKey.none();
+		}
+		try {
+			return OwnerKey.parse(owner, key);
+		}
+		catch (PoplarloomException ex) {
+			this.findings.add("environment " + OWNER_KEY, ex.code(), ex.getMessage());
+			return OwnerKey.none();
+		}
+	}
+
 	private String secret(String variable, Map<String, String> environment) {
 		String value = environment.getOrDefault(variable, "");
 		if (value.length() < SHORTEST_SECRET) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
@@ -19,6 +19,7 @@
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Put;
 import io.micronaut.http.annotation.QueryValue;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.AvailabilityZone;
@@ -36,8 +37,10 @@
 import org.poplarloom.core.version.Subject;
 import org.poplarloom.entry.process.ClusterStatus;
 import org.poplarloom.entry.process.Node;
+import org.poplarloom.entry.process.UsagePublisher;
 import org.poplarloom.entry.version.ConfigurationPublisher;
 import org.poplarloom.platform.port.InstanceListPort.Listed;
+import org.poplarloom.platform.port.LogPort;
 
 /**
  * The operators' interface.
@@ -175,6 +178,26 @@
 		});
 	}
 
+	@Get("/usage/pages")
+	Mono<MutableHttpResponse<String>> usagePages(HttpRequest<?> http) {
+		this.authentication.requireOperator(http);
+		return Mono.from(this.node.log().names(UsagePublisher.STREAM_PREFIX))
+			.flatMapMany(Flux::fromIterable)
+			.concatMap((stream) -> readAll(stream, 0))
+			.collectList()
+			.map((records) -> HttpResponse.ok("[" + String.join(",", records) + "]")
+				.contentType(MediaType.APPLICATION_JSON_TYPE));
+	}
+
+	private Flux<String> readAll(String stream, long from) {
+		return Mono.from(this.node.log().read(stream, from, 0)).flatMapMany((page) -> {
+			Flux<String> records = Flux.fromIterable(page.records()).map(LogPort.Entry::value);
+			long next = Math.max(from, page.first()) + page.records().size();
+			boolean isEnd = page.records().isEmpty() || next >= page.next();
+			return isEnd ? records : records.concatWith(Flux.defer(() -> readAll(stream, next)));
+		});
+	}
+
 	private List<ShardLine> shards() {
 		List<ShardLine> lines = new ArrayList<>();
 		for (ShardStatus shard : this.node.membership().liveShards(this.node.clock().nowMillis())) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClusterStatus.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClusterStatus.java
@@ -6,7 +6,6 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
-import org.poplarloom.core.process.Member;
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.wire.message.Message;
 
@@ -31,12 +30,10 @@
 	 * has the offset {@link InstanceLine#NO_ANSWER}
 	 */
 	public Mono<List<InstanceLine>> instances() {
-		return Flux.fromIterable(this.node.membership().allLive(this.node.clock().nowMillis()))
-			.flatMapSequential(this::ask)
-			.collectList();
+		return Flux.fromIterable(this.node.instances().all()).flatMapSequential(this::ask).collectList();
 	}
 
-	private Mono<InstanceLine> ask(Member member) {
+	private Mono<InstanceLine> ask(InstanceView.Instance member) {
 		return Mono.fromFuture(
 				() -> this.node.request(member.id(), member.address(), new Message.VersionAsk(), TIMEOUT.toMillis()))
 			.map((reply) -> line(member, reply))
@@ -44,7 +41,7 @@
 					List.of(), 0));
 	}
 
-	private static InstanceLine line(Member member, Message reply) {
+	private static InstanceLine line(InstanceView.Instance member, Message reply) {
 		Message.VersionGiven version = (Message.VersionGiven) reply;
 		return new InstanceLine(member.id().value(), member.zone().value(), version.offset(),
 				Long.toHexString(version.digest()), version.orderIds(), version.grants());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +31,10 @@
 
 	private static final int FAILURES_UNTIL_UNREACHABLE = 2;
 
+	private final AvailabilityZone zone;
+
+	private final Clock clock;
+
 	private final InstanceListPort list;
 
 	private final EndpointPort endpoints;
@@ -40,7 +45,9 @@
 
 	private volatile List<Listed> listed = List.of();
 
-	public EndpointDirectory(InstanceListPort list, EndpointPort endpoints) {
+	public EndpointDirectory(AvailabilityZone zone, InstanceListPort list, EndpointPort endpoints, Clock clock) {
+		this.zone = zone;
+		this.clock = clock;
 		this.list = list;
 		this.endpoints = endpoints;
 	}
@@ -50,7 +57,7 @@
 	 * @return completes when the list was read or could not be read
 	 */
 	public Mono<Void> refresh() {
-		return Mono.from(this.list.list()).doOnNext((next) -> this.listed = next).onErrorResume((failure) -> {
+		return Mono.from(this.list.list(this.zone)).doOnNext((next) -> this.listed = next).onErrorResume((failure) -> {
 			logger.debug("instance list cannot be read: {}", failure.getMessage());
 			return Mono.empty();
 		}).then();
@@ -100,13 +107,18 @@
 	 * Asks the endpoints of a shard for new reports.
 	 * @param shard the shard
 	 * @param shardsPerZone the number of shards in the zone
+	 * @param isDue says which endpoints to ask; one without a report is always asked
 	 * @return the reports of all endpoints of the shard that ever answered
 	 */
-	public Mono<List<EndpointReport>> poll(ShardId shard, int shardsPerZone) {
+	public Mono<List<EndpointReport>> poll(ShardId shard, int shardsPerZone, Predicate<EndpointId> isDue) {
 		List<Listed> members = engines(shard.zone()).stream()
 			.filter((entry) -> ShardId.of(shard.zone(), EndpointId.of(entry.id()), shardsPerZone).equals(shard))
 			.toList();
-		return Flux.fromIterable(members).flatMap(this::poll).then(Mono.fromSupplier(() -> collect(members)));
+		return Flux.fromIterable(members)
+			.filter((entry) -> isDue.test(EndpointId.of(entry.id()))
+					|| !this.reports.containsKey(EndpointId.of(entry.id())))
+			.flatMap(this::poll)
+			.then(Mono.fromSupplier(() -> collect(members)));
 	}
 
 	private List<Listed> engines(AvailabilityZone zone) {
@@ -117,9 +129,10 @@
 
 	private Mono<EndpointReport> poll(Listed entry) {
 		EndpointId endpoint = EndpointId.of(entry.id());
+		long started = this.clock.nowMillis();
 		return Mono.from(this.endpoints.report(entry.address())).doOnNext((report) -> {
 			this.failures.remove(endpoint);
-			this.reports.put(endpoint, report);
+			this.reports.put(endpoint, report.withTakenMillis(started));
 		}).onErrorResume((failure) -> {
 			this.failures.merge(endpoint, 1, Integer::sum);
 			return Mono.empty();
@@ -134,15 +147,10 @@
 			if (report != null) {
 				boolean isUnreachable = this.failures.getOrDefault(endpoint, 0) >= FAILURES_UNTIL_UNREACHABLE;
 				boolean isLeaving = entry.isLeaving() || report.isLeaving() || isUnreachable;
-				collected.put(endpoint, withLeaving(report, isLeaving));
+				collected.put(endpoint, isLeaving ? report.withLeaving() : report);
 			}
 		}
 		return new ArrayList<>(collected.values());
 	}
 
-	private static EndpointReport withLeaving(EndpointReport report, boolean isLeaving) {
-		return new EndpointReport(report.endpoint(), report.bootId(), isLeaving, report.models(), report.slots(),
-				report.kvTokens(), report.prefillTokensPerSecond(), report.highestFence(), report.uptimeMillis());
-	}
-
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -1,13 +1,12 @@
 package org.poplarloom.entry.process;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegister;
 import org.poplarloom.core.process.Member;
@@ -20,7 +19,6 @@
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ConfigurationKeeper;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -56,7 +54,7 @@
 
 	private final CrashRegister crashes;
 
-	private final EndpointDirectory directory;
+	private final InstanceView instances;
 
 	private final HomeTable homes;
 
@@ -73,12 +71,12 @@
 	private long gossipMillis;
 
 	public Gossiper(Settings settings, MembershipTable membership, ConfigurationKeeper keeper, CrashRegister crashes,
-			EndpointDirectory directory, HomeTable homes, Peers peers, Clock clock) {
+			InstanceView instances, HomeTable homes, Peers peers, Clock clock) {
 		this.settings = settings;
 		this.membership = membership;
 		this.keeper = keeper;
 		this.crashes = crashes;
-		this.directory = directory;
+		this.instances = instances;
 		this.homes = homes;
 		this.peers = peers;
 		this.clock = clock;
@@ -123,51 +121,39 @@
 	}
 
 	private void sendGossip() {
-		List<Target> near = new ArrayList<>();
-		List<Target> far = new ArrayList<>();
-		for (Target target : targets()) {
-			if (target.isNear()) {
-				near.add(target);
-			}
-			else {
-				far.add(target);
-			}
+		List<InstanceView.Instance> near = new ArrayList<>();
+		List<InstanceView.Instance> far = new ArrayList<>();
+		for (InstanceView.Instance instance : others()) {
+			(isNear(instance.zone()) ? near : far).add(instance);
 		}
-		near.stream().filter((target) -> !target.isKnown()).forEach(this::sendGossip);
+		this.instances.strangers().forEach(this::sendGossip);
 		anyOf(near).ifPresent(this::sendGossip);
 		anyOf(far).ifPresent(this::sendGossip);
 	}
 
-	private synchronized Optional<Target> anyOf(List<Target> targets) {
-		return targets.isEmpty() ? Optional.empty() : Optional.of(targets.get(this.random.nextInt(targets.size())));
+	private boolean isNear(AvailabilityZone zone) {
+		return zone.equals(this.settings.zone());
+	}
+
+	private List<InstanceView.Instance> others() {
+		List<InstanceView.Instance> others = new ArrayList<>(this.instances.all());
+		others.removeIf((instance) -> instance.id().equals(this.settings.instance()));
+		return others;
+	}
+
+	private synchronized Optional<InstanceView.Instance> anyOf(List<InstanceView.Instance> choices) {
+		return choices.isEmpty() ? Optional.empty() : Optional.of(choices.get(this.random.nextInt(choices.size())));
 	}
 
 	/**
 	 * Tells everybody at once, for news that must not wait.
 	 */
 	public void spreadUrgently() {
-		targets().forEach(this::sendGossip);
+		others().forEach(this::sendGossip);
 	}
 
-	private void sendGossip(Target target) {
-		this.peers.send(target.instance(), target.address(), message(target.isNear()));
-	}
-
-	private List<Target> targets() {
-		Map<InstanceId, Target> targets = new LinkedHashMap<>();
-		for (Member member : this.membership.allLive(this.clock.nowMillis())) {
-			boolean isNear = member.zone().equals(this.settings.zone());
-			targets.put(member.id(), new Target(member.id(), member.address(), isNear, true));
-		}
-		for (Listed listed : this.directory.listed()) {
-			if (listed.kind().equals(Listed.ENTRY)) {
-				boolean isNear = listed.zone().equals(this.settings.zone().value());
-				InstanceId id = InstanceId.of(listed.id());
-				targets.putIfAbsent(id, new Target(id, listed.address(), isNear, false));
-			}
-		}
-		targets.remove(this.settings.instance());
-		return new ArrayList<>(targets.values());
+	private void sendGossip(InstanceView.Instance target) {
+		this.peers.send(target.id(), target.address(), message(isNear(target.zone())));
 	}
 
 	private Message.Gossip message(boolean isNear) {
@@ -177,7 +163,7 @@
 		List<Member> members;
 		List<ShardStatus> shards;
 		synchronized (this) {
-			members = this.membership.gossipMembers(now, this.random);
+			members = isNear ? this.membership.gossipMembers(now, this.random) : List.of(this.membership.self());
 			shards = this.membership.gossipShards(isNear, now, this.random);
 		}
 		return new Message.Gossip(members, shards, state.configuration().offset(), state.configuration().digest(),
@@ -212,7 +198,7 @@
 		}
 		long now = this.clock.nowMillis();
 		Member sender = gossip.members().get(0);
-		boolean isNew = !this.membership.isKnown(sender);
+		boolean isNew = isNear(sender.zone()) && !this.membership.isKnown(sender);
 		this.membership.mergeMembers(gossip.members(), now);
 		this.membership.mergeShards(gossip.shards(), now);
 		this.crashes.merge(gossip.crashes());
@@ -220,8 +206,7 @@
 			this.keeper.order(gossip.orders().stream().map((json) -> Documents.read(json, ZoneOrder.class)).toList());
 		}
 		if (isNew) {
-			boolean isNear = sender.zone().equals(this.settings.zone());
-			sendGossip(new Target(sender.id(), sender.address(), isNear, true));
+			sendGossip(new InstanceView.Instance(sender.id(), sender.zone(), sender.address()));
 		}
 		fetchIfNewer(sender, gossip.offset());
 	}
@@ -242,10 +227,4 @@
 			});
 	}
 
-	/**
-	 * A peer to send to.
-	 */
-	private record Target(InstanceId instance, String address, boolean isNear, boolean isKnown) {
-	}
-
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -34,6 +34,7 @@
 import org.poplarloom.core.version.ConfigurationState;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ConfigurationKeeper;
+import org.poplarloom.platform.port.EndpointPort;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -54,6 +55,10 @@
 
 	private final EndpointDirectory directory;
 
+	private final EndpointPort endpoints;
+
+	private final InstanceView instances;
+
 	private final ConfigurationKeeper keeper;
 
 	private final Clock clock;
@@ -64,8 +69,10 @@
 
 	private final Map<InstanceId, Long> lastLive = new ConcurrentHashMap<>();
 
-	public HomeTable(Settings settings, MembershipTable membership, EndpointDirectory directory,
+	public HomeTable(Settings settings, MembershipTable membership, EndpointDirectory directory, EndpointPort endpoints,
 			ConfigurationKeeper keeper, Clock clock) {
+		this.endpoints = endpoints;
+		this.instances = new InstanceView(membership, directory, clock);
 		this.settings = settings;
 		this.membership = membership;
 		this.directory = directory;
@@ -111,9 +118,7 @@
 	}
 
 	private void releaseEnded(long now) {
-		Set<InstanceId> live = new HashSet<>();
-		this.membership.allLive(now).forEach((member) -> live.add(member.id()));
-		live.forEach((instance) -> this.lastLive.put(instance, now));
+		this.instances.possibleHolders().forEach((instance) -> this.lastLive.put(instance, now));
 		for (Map.Entry<InstanceId, Long> entry : this.lastLive.entrySet()) {
 			if (entry.getValue() + HOLDER_GRACE_MILLIS < now) {
 				this.lastLive.remove(entry.getKey());
@@ -128,11 +133,28 @@
 	 */
 	public Mono<Void> poll() {
 		return Flux.fromIterable(this.homes.entrySet())
-			.flatMap((entry) -> this.directory.poll(entry.getKey(), this.settings.shardsPerZone())
+			.flatMap((entry) -> this.directory
+				.poll(entry.getKey(), this.settings.shardsPerZone(),
+						(endpoint) -> entry.getValue().shardHome().isPollDue(endpoint, this.clock.nowMillis()))
 				.doOnNext((reports) -> observe(entry.getValue(), reports)))
 			.then();
 	}
 
+	/**
+	 * Asks the endpoints of all own shards what they have run.
+	 * @param usage takes the totals
+	 * @return completes when all have answered or failed
+	 */
+	public Mono<Void> pollUsage(UsagePublisher usage) {
+		return Flux.fromIterable(this.homes.values())
+			.flatMapIterable((home) -> home.shardHome().endpoints())
+			.filter((endpoint) -> this.directory.address(endpoint) != null)
+			.flatMap((endpoint) -> Mono.from(this.endpoints.usage(this.directory.address(endpoint)))
+				.doOnNext((totals) -> usage.report(endpoint, totals))
+				.onErrorResume((failure) -> Mono.empty()))
+			.then();
+	}
+
 	private void observe(Home home, List<EndpointReport> reports) {
 		Set<EndpointId> out = new HashSet<>();
 		for (EndpointReport report : reports) {
@@ -144,6 +166,15 @@
 		home.shardHome().raiseFence(this.settings.instance());
 		home.markObserved(!reports.isEmpty());
 		dispatch(decisions);
+		home.shardHome().orphans(this.clock.nowMillis()).forEach(this::free);
+	}
+
+	private void free(ShardHome.Orphan orphan) {
+		String address = this.directory.address(orphan.endpoint());
+		if (address != null) {
+			logger.info("freeing {} on {}, which nobody holds", orphan.key(), orphan.endpoint());
+			Mono.from(this.endpoints.cancel(address, orphan.key())).onErrorComplete().subscribe();
+		}
 	}
 
 	/**
@@ -178,6 +209,19 @@
 		}
 	}
 
+	/**
+	 * Notes that an endpoint has prefilled its part of a long prompt.
+	 * @param shard the shard
+	 * @param key the identity of the grant
+	 * @param segment the part, counted from 0
+	 */
+	public void segmentDone(ShardId shard, String key, int segment) {
+		Home home = this.homes.get(shard);
+		if (home != null) {
+			dispatch(home.shardHome().segmentDone(key, segment, this.clock.nowMillis()));
+		}
+	}
+
 	/**
 	 * Ends a grant.
 	 * @param shard the shard
@@ -190,7 +234,7 @@
 		if (home != null) {
 			dispatch(home.shardHome().release(key, this.clock.nowMillis()));
 			if (failedEndpoint != null) {
-				home.shardHome().doubt(failedEndpoint);
+				home.shardHome().doubt(failedEndpoint, this.clock.nowMillis());
 				poll().subscribe();
 			}
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -16,7 +16,6 @@
 import org.poplarloom.core.process.CrashRegister;
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.MembershipTable;
-import org.poplarloom.core.process.UsageBook;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.Settings;
@@ -53,7 +52,7 @@
 
 	private static final long CRASH_RETENTION_MILLIS = 600_000;
 
-	private static final long ACCOUNTING_PERIOD_MILLIS = 3_600_000;
+	private static final long USAGE_TICK_MILLIS = 1_000;
 
 	private static final int LOOP_THREADS = 2;
 
@@ -83,7 +82,7 @@
 
 	private final CrashRegister crashes = CrashRegister.of(CRASH_RETENTION_MILLIS);
 
-	private final UsageBook book = UsageBook.of(ACCOUNTING_PERIOD_MILLIS);
+	private final UsagePublisher usage;
 
 	private final LogFollower follower;
 
@@ -91,6 +90,8 @@
 
 	private MembershipTable membership;
 
+	private InstanceView instances;
+
 	private HomeTable homes;
 
 	private HomeSelector selector;
@@ -104,9 +105,11 @@
 		this.log = new HttpLog(this.client, settings.logAddress());
 		this.endpoints = new HttpEndpoint(this.client);
 		this.services = new HttpService(this.client);
-		this.directory = new EndpointDirectory(new HttpInstanceList(this.client, settings.listAddress()),
-				this.endpoints);
+		this.directory = new EndpointDirectory(settings.zone(),
+				new HttpInstanceList(this.client, settings.listAddress()), this.endpoints, this.clock);
 		this.network = new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), this);
+		this.usage = new UsagePublisher(this.log, settings.ownerKey(),
+				settings.instance() + "@" + this.clock.nowMillis(), this.clock);
 		this.follower = new LogFollower(this.log, this.keeper, this.scheduler);
 	}
 
@@ -118,16 +121,19 @@
 		Member self = new Member(this.settings.instance(), this.settings.zone(), this.settings.host() + ":" + port,
 				this.clock.nowMillis(), 0, false);
 		this.membership = MembershipTable.of(self, this.settings.failureTimeoutMillis());
-		this.homes = new HomeTable(this.settings, this.membership, this.directory, this.keeper, this.clock);
+		this.instances = new InstanceView(this.membership, this.directory, this.clock);
+		this.homes = new HomeTable(this.settings, this.membership, this.directory, this.endpoints, this.keeper,
+				this.clock);
 		this.selector = new HomeSelector(this.settings, this.membership, this.keeper, this.clock);
 		this.grants = new GrantClient(this.selector, this, this.clock);
-		this.gossiper = new Gossiper(this.settings, this.membership, this.keeper, this.crashes, this.directory,
+		this.gossiper = new Gossiper(this.settings, this.membership, this.keeper, this.crashes, this.instances,
 				this.homes, this, this.clock);
 		this.follower.start();
 		every(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		every(HOME_TICK_MILLIS, this.homes::tick);
 		every(HOME_TICK_MILLIS, this.grants::followHomes);
 		every(POLL_MILLIS, () -> this.homes.poll().subscribe());
+		every(USAGE_TICK_MILLIS, this::publishUsage);
 		every(LIST_MILLIS, () -> this.directory.refresh().subscribe());
 	}
 
@@ -187,6 +193,9 @@
 		else if (message instanceof Message.FirstToken first) {
 			this.homes.firstToken(first.shard(), first.key());
 		}
+		else if (message instanceof Message.SegmentDone done) {
+			this.homes.segmentDone(done.shard(), done.key(), done.segment());
+		}
 		else if (message instanceof Message.Release release) {
 			this.homes.release(release.shard(), release.key(), release.failedEndpoint());
 		}
@@ -255,6 +264,14 @@
 		return this.membership;
 	}
 
+	/**
+	 * Returns the entry instances of the whole system.
+	 * @return the view
+	 */
+	public InstanceView instances() {
+		return this.instances;
+	}
+
 	/**
 	 * Returns the endpoints that are known.
 	 * @return the directory
@@ -296,11 +313,17 @@
 	}
 
 	/**
-	 * Returns what this instance's callers used.
-	 * @return the book
+	 * Returns the publisher of this instance's books.
+	 * @return the publisher
 	 */
-	public UsageBook book() {
-		return this.book;
+	public UsagePublisher usage() {
+		return this.usage;
+	}
+
+	private void publishUsage() {
+		if (this.usage.startIfDue(this.instances.all().size())) {
+			this.homes.pollUsage(this.usage).then(this.usage.publish()).subscribe();
+		}
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
@@ -17,10 +17,11 @@
 import org.poplarloom.core.process.CrashRegister;
 import org.poplarloom.core.process.RetryBudget;
 import org.poplarloom.core.process.TeamLimiter;
-import org.poplarloom.core.process.UsageBook;
 import org.poplarloom.core.request.AnswerPiece;
 import org.poplarloom.core.request.AnswerSequence;
 import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.usage.UsageBook;
+import org.poplarloom.core.usage.UsagePage;
 import org.poplarloom.entry.process.Node;
 import org.poplarloom.platform.port.EndpointPort.EngineCall;
 import org.poplarloom.platform.port.EndpointPort.EngineEvent;
@@ -89,6 +90,8 @@
 
 		private final long startedNanos = System.nanoTime();
 
+		private final long acceptedMillis = ChatService.this.node.clock().nowMillis();
+
 		private final Set<EndpointId> excluded = new HashSet<>();
 
 		private int attempt = 1;
@@ -128,15 +131,23 @@
 			this.lastHeld = held;
 			AnswerSequence sequence = AnswerSequence.of(this.request.id(), this.attempt, this.delivered);
 			EngineCall call = new EngineCall(this.request.id(), this.attempt, held.grant().priority(),
-					held.grant().fence().value(), this.delivered, this.request.body());
+					held.grant().fence().value(), this.delivered, account(held.grant().answering()).account(), null,
+					this.request.body());
 			Outcome outcome = new Outcome(held, sequence);
-			return Flux.from(ChatService.this.node.endpoints().generate(held.answeringAddress(), call))
+			SegmentedCall segmented = new SegmentedCall(ChatService.this.node.endpoints(),
+					ChatService.this.node.grants(), held);
+			return segmented.generate(call)
 				.<EngineEvent>handle((event, sink) -> accept(outcome, event, sink))
 				.concatWith(Flux.defer(() -> outcome.isEnded() ? Flux.empty() : Flux.error(cutOff())))
 				.doOnError(outcome::fail)
 				.doFinally((signal) -> outcome.release());
 		}
 
+		private UsageBook.Key account(EndpointId endpoint) {
+			return UsageBook.Key.of(this.acceptedMillis, this.request.contract().owner(),
+					this.request.contract().team(), this.request.shape().model(), endpoint);
+		}
+
 		private PoplarloomException cutOff() {
 			return new PoplarloomException(ErrorCode.ENDPOINT_FAILED, Executed.YES, "the answer ended early");
 		}
@@ -161,10 +172,10 @@
 
 		private void record(HeldGrant held, EngineEvent last) {
 			this.usedTokens = last.promptTokens() + last.answerTokens();
-			ChatService.this.node.book()
-				.add(this.request.contract().owner(), this.request.contract().team(), this.request.shape().model(),
-						held.grant().answering(), new UsageBook.Totals(1, last.promptTokens(), last.answerTokens(), 0),
-						ChatService.this.node.clock().nowMillis());
+			ChatService.this.node.usage()
+				.book(UsagePage.Kind.CALLER)
+				.add(ChatService.this.node.usage().writer(), account(held.grant().answering()),
+						new UsageBook.Totals(1, last.promptTokens(), last.answerTokens()));
 			ChatService.this.node.crashes().clear(this.request.fingerprint());
 		}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/EntryMetrics.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/EntryMetrics.java
@@ -32,7 +32,7 @@
 		gauge("peer_received_bytes_total", () -> node.network().traffic().receivedBytes());
 		gauge("peer_dropped_messages_total", () -> node.network().traffic().dropped());
 		gauge("configuration_offset", () -> node.keeper().configuration().offset());
-		gauge("live_instances", () -> node.membership().allLive(node.clock().nowMillis()).size());
+		gauge("live_instances", () -> node.instances().all().size());
 		gauge("grants_held", () -> node.grants().heldCount());
 		gauge("log_connected", () -> node.follower().isConnected() ? 1 : 0);
 		gauge("homes", () -> node.homes().homes().size());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -121,6 +121,18 @@
 		this.peers.send(home.home(), home.address(), new Message.FirstToken(home.shard(), grant.grant().key()));
 	}
 
+	/**
+	 * Tells the home that an endpoint has prefilled its part of the prompt.
+	 * @param grant the grant
+	 * @param segment the part, counted from 0
+	 */
+	public void segmentDone(HeldGrant grant, int segment) {
+		HeldGrant current = this.held.getOrDefault(grant.grant().key(), grant);
+		ShardStatus home = current.home();
+		this.peers.send(home.home(), home.address(),
+				new Message.SegmentDone(home.shard(), grant.grant().key(), segment));
+	}
+
 	/**
 	 * Gives a grant back.
 	 * @param grant the grant; releasing it again does nothing
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Limits.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Limits.java
@@ -41,7 +41,7 @@
 	 * Follows the number of live instances.
 	 */
 	public void tick() {
-		double next = 1.0 / this.node.membership().allLive(this.node.clock().nowMillis()).size();
+		double next = 1.0 / Math.max(1, this.node.instances().all().size());
 		if (next != this.share) {
 			this.share = next;
 			apply(this.node.keeper().state());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/OrderService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/OrderService.java
@@ -14,7 +14,8 @@
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.process.ClaimFold;
 import org.poplarloom.core.process.ClaimRecord;
-import org.poplarloom.core.process.UsageBook;
+import org.poplarloom.core.usage.UsageBook;
+import org.poplarloom.core.usage.UsagePage;
 import org.poplarloom.core.version.ServiceTerms;
 import org.poplarloom.entry.process.ClaimLog;
 import org.poplarloom.entry.process.Node;
@@ -120,9 +121,11 @@
 	}
 
 	private void record(Order order, EndpointId endpoint) {
-		this.node.book()
-			.add(order.contract().owner(), order.contract().team(), order.service(), endpoint,
-					new UsageBook.Totals(1, 0, 0, 0), this.node.clock().nowMillis());
+		UsageBook.Key key = UsageBook.Key.of(this.node.clock().nowMillis(), order.contract().owner(),
+				order.contract().team(), UsageBook.Key.SERVICE_PREFIX + order.service(), endpoint);
+		this.node.usage()
+			.book(UsagePage.Kind.CALLER)
+			.add(this.node.usage().writer(), key, new UsageBook.Totals(1, 0, 0));
 	}
 
 	private static boolean isUnsent(Throwable failure) {
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/SegmentedCall.java
@@ -0,0 +1,75 @@
+package org.poplarloom.entry.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import org.poplarloom.core.request.Share;
+import org.poplarloom.platform.port.EndpointPort;
+import org.poplarloom.platform.port.EndpointPort.EngineCall;
+import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+import org.poplarloom.platform.port.EndpointPort.Segment;
+
+/**
+ * Runs a request on the endpoints of its grant.
+ * <p>
+ * If there are several, each prefills its part in turn, importing the parts before it,
+ * and the last one answers. A failure of any fails the call; {@link #cancel()} gives back
+ * what all of them hold. This class is immutable and thread-safe.
+ */
+final class SegmentedCall {
+
+	private final EndpointPort endpoints;
+
+	private final GrantClient grants;
+
+	private final HeldGrant held;
+
+	SegmentedCall(EndpointPort endpoints, GrantClient grants, HeldGrant held) {
+		this.endpoints = endpoints;
+		this.grants = grants;
+		this.held = held;
+	}
+
+	Flux<EngineEvent> generate(EngineCall call) {
+		List<Share> shares = this.held.grant().shares();
+		if (shares.size() == 1) {
+			return Flux.from(this.endpoints.generate(this.held.answeringAddress(), call));
+		}
+		Mono<Boolean> prefilled = Mono.just(true);
+		for (int i = 0; i < shares.size() - 1; i++) {
+			int segment = i;
+			prefilled = prefilled.flatMap((done) -> prefill(call, segment));
+		}
+		EngineCall last = call.withSegment(segment(shares.size() - 1));
+		return prefilled
+			.thenMany(Flux.defer(() -> Flux.from(this.endpoints.generate(this.held.answeringAddress(), last))));
+	}
+
+	private Mono<Boolean> prefill(EngineCall call, int segment) {
+		String address = this.held.addresses().get(segment);
+		return Mono.from(this.endpoints.prefill(address, call.withSegment(segment(segment))))
+			.doOnNext((done) -> this.grants.segmentDone(this.held, segment));
+	}
+
+	private Segment segment(int index) {
+		List<String> imports = new ArrayList<>();
+		for (int i = 0; i < index; i++) {
+			imports.add(Segment.export(this.held.addresses().get(i), this.held.grant().key()));
+		}
+		return new Segment(this.held.grant().shares().get(index).kvTokens(), String.join(",", imports));
+	}
+
+	/**
+	 * Cancels the request on all endpoints; what cannot be reached now is freed by the
+	 * home later.
+	 */
+	void cancel() {
+		for (String address : this.held.addresses()) {
+			Mono.from(this.endpoints.cancel(address, this.held.grant().key())).onErrorComplete().subscribe();
+		}
+	}
+
+}
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpEndpoint.java
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpEndpoint.java
@@ -7,6 +7,7 @@
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.client.exceptions.HttpClientResponseException;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -40,16 +41,34 @@
 
 	@Override
 	public Publisher<EngineEvent> generate(String address, EngineCall call) {
-		HttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, "/v1/chat/completions"), call.body())
+		EventLines lines = new EventLines();
+		return this.client.stream(request(address, "/v1/chat/completions", call))
+			.concatMapIterable(lines::add)
+			.onErrorMap(HttpEndpoint::failed);
+	}
+
+	@Override
+	public Publisher<Boolean> prefill(String address, EngineCall call) {
+		return this.client.exchange(request(address, "/kv/segments", call))
+			.map((response) -> true)
+			.onErrorMap(HttpEndpoint::failed);
+	}
+
+	private static HttpRequest<byte[]> request(String address, String path, EngineCall call) {
+		MutableHttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, path), call.body())
 			.contentType(MediaType.APPLICATION_JSON_TYPE)
 			.header("X-Request-Id", call.requestId())
 			.header("X-Attempt", Integer.toString(call.attempt()))
 			.header("X-Priority", Integer.toString(call.priority()))
 			.header("X-Fence", Long.toString(call.fence()))
+			.header("X-Account", call.account())
 			.header("X-Seed", Integer.toString(call.requestId().hashCode()))
 			.header("X-Resume-From", Long.toString(call.resumeFrom()));
-		EventLines lines = new EventLines();
-		return this.client.stream(request).concatMapIterable(lines::add).onErrorMap(HttpEndpoint::failed);
+		if (call.segment() != null) {
+			request.header("X-Kv-Tokens", Long.toString(call.segment().kvTokens()));
+			request.header("X-Kv-Imports", call.segment().imports());
+		}
+		return request;
 	}
 
 	private static Throwable failed(Throwable cause) {
@@ -62,6 +81,11 @@
 		return new PoplarloomException(ErrorCode.ENDPOINT_FAILED, Executed.UNKNOWN, "endpoint: " + cause.getMessage());
 	}
 
+	@Override
+	public Publisher<EngineUsage> usage(String address) {
+		return this.client.getJson(PlatformClient.uri(address, "/usage"), EngineUsage.class, TIMEOUT);
+	}
+
 	@Override
 	public Publisher<Boolean> cancel(String address, String key) {
 		HttpRequest<byte[]> request = HttpRequest.POST(PlatformClient.uri(address, "/cancel/" + key), new byte[0]);
@@ -81,11 +105,11 @@
 	 * An engine's load report as it is sent.
 	 */
 	record Load(EndpointId endpoint, String bootId, boolean isLeaving, Set<String> models, int slots, long kvTokens,
-			double prefillTokensPerSecond, long highestFence, long uptimeMillis) {
+			double prefillTokensPerSecond, long highestFence, long uptimeMillis, Set<String> handles) {
 
 		EndpointReport toReport() {
 			return new EndpointReport(this.endpoint, this.bootId, this.isLeaving, this.models, this.slots,
-					this.kvTokens, this.prefillTokensPerSecond, this.highestFence, this.uptimeMillis);
+					this.kvTokens, this.prefillTokensPerSecond, this.highestFence, this.uptimeMillis, this.handles, 0);
 		}
 
 	}
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpInstanceList.java
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpInstanceList.java
@@ -1,16 +1,24 @@
 package org.poplarloom.platform.http;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
 
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.version.Documents;
 import org.poplarloom.platform.port.InstanceListPort;
 
 /**
  * Reads the instance list over HTTP.
  * <p>
- * This class is immutable and thread-safe.
+ * The list is transferred only if it has changed since the last call. This class is
+ * thread-safe.
  */
 public final class HttpInstanceList implements InstanceListPort {
 
@@ -20,15 +28,29 @@
 
 	private final String address;
 
+	private volatile String knownTag = "";
+
 	public HttpInstanceList(PlatformClient client, String address) {
 		this.client = client;
 		this.address = address;
 	}
 
 	@Override
-	public Publisher<List<Listed>> list() {
-		return this.client.getJson(PlatformClient.uri(this.address, "/instances"), Listing.class, TIMEOUT)
-			.map(Listing::instances);
+	public Publisher<List<Listed>> list(AvailabilityZone zone) {
+		HttpRequest<?> request = HttpRequest.GET(PlatformClient.uri(this.address, "/instances?zone=" + zone))
+			.header("If-None-Match", this.knownTag);
+		return this.client.exchange(request).timeout(TIMEOUT).flatMap(this::read);
+	}
+
+	private Mono<List<Listed>> read(HttpResponse<byte[]> response) {
+		if (response.code() == HttpStatus.NOT_MODIFIED.getCode()) {
+			return Mono.empty();
+		}
+		String body = new String(response.body(), StandardCharsets.UTF_8);
+		List<Listed> instances = Documents.read(body, Listing.class).instances();
+		String tag = response.getHeaders().get("ETag");
+		this.knownTag = (tag != null) ? tag : "";
+		return Mono.just(instances);
 	}
 
 	/**
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/port/EndpointPort.java
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/port/EndpointPort.java
@@ -1,5 +1,7 @@
 package org.poplarloom.platform.port;
 
+import java.util.List;
+
 import org.reactivestreams.Publisher;
 
 import org.poplarloom.core.process.EndpointReport;
@@ -27,6 +29,23 @@
 	 */
 	Publisher<EngineEvent> generate(String address, EngineCall call);
 
+	/**
+	 * Prefills a part of a prompt, which the engine then holds until the request is
+	 * cancelled.
+	 * @param address the engine's host and port
+	 * @param call the request with its segment
+	 * @return completes when the part is prefilled, or an error with code
+	 * {@code endpoint_failed}
+	 */
+	Publisher<Boolean> prefill(String address, EngineCall call);
+
+	/**
+	 * Reads what an engine has run since its start.
+	 * @param address the engine's host and port
+	 * @return the totals by account, or an error if the engine cannot be reached
+	 */
+	Publisher<EngineUsage> usage(String address);
+
 	/**
 	 * Cancels a request.
 	 * @param address the engine's host and port
@@ -52,9 +71,44 @@
 	 * @param priority higher runs first
 	 * @param fence the fence number of the grant
 	 * @param resumeFrom the number of answer tokens to skip, 0 for the whole answer
+	 * @param account what the request is charged to
+	 * @param segment the part of the prompt that the engine takes, null for all of it
 	 * @param body the caller's body
 	 */
-	record EngineCall(String requestId, int attempt, int priority, long fence, long resumeFrom, byte[] body) {
+	record EngineCall(String requestId, int attempt, int priority, long fence, long resumeFrom, String account,
+			Segment segment, byte[] body) {
+
+		/**
+		 * Returns the call for a part of the prompt.
+		 * @param newSegment the part
+		 * @return the call
+		 */
+		public EngineCall withSegment(Segment newSegment) {
+			return new EngineCall(this.requestId, this.attempt, this.priority, this.fence, this.resumeFrom,
+					this.account, newSegment, this.body);
+		}
+
+	}
+
+	/**
+	 * A part of a prompt that is larger than one engine's memory.
+	 *
+	 * @param kvTokens the reserved size of the KV cache in tokens
+	 * @param imports where the engine fetches the parts before this one, separated by
+	 * commas
+	 */
+	record Segment(long kvTokens, String imports) {
+
+		/**
+		 * Returns where an engine exports the part that it holds.
+		 * @param address the engine's host and port
+		 * @param key request id and attempt
+		 * @return host, port and path
+		 */
+		public static String export(String address, String key) {
+			return address + "/kv/export/" + key;
+		}
+
 	}
 
 	/**
@@ -73,4 +127,24 @@
 			long promptTokens, long answerTokens) {
 	}
 
+	/**
+	 * What an engine has run since its start.
+	 *
+	 * @param bootId the start
+	 * @param accounts the totals by account
+	 */
+	record EngineUsage(String bootId, List<AccountTotals> accounts) {
+	}
+
+	/**
+	 * What an engine has run for an account.
+	 *
+	 * @param account the account that calls named
+	 * @param requests the number of answers
+	 * @param promptTokens their prompt tokens
+	 * @param answerTokens their answer tokens
+	 */
+	record AccountTotals(String account, long requests, long promptTokens, long answerTokens) {
+	}
+
 }
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/port/InstanceListPort.java
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/port/InstanceListPort.java
@@ -4,6 +4,8 @@
 
 import org.reactivestreams.Publisher;
 
+import org.poplarloom.core.AvailabilityZone;
+
 /**
  * The platform's list of live and leaving instances, which lags behind the truth.
  * <p>
@@ -12,10 +14,12 @@
 public interface InstanceListPort {
 
 	/**
-	 * Reads the list.
-	 * @return the instances, or an error if the platform cannot be reached
+	 * Reads the engines of a zone and everything else of all zones.
+	 * @param zone the availability zone
+	 * @return the instances, nothing if the list has not changed since the last call, or
+	 * an error if the platform cannot be reached
 	 */
-	Publisher<List<Listed>> list();
+	Publisher<List<Listed>> list(AvailabilityZone zone);
 
 	/**
 	 * One instance.
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/Sequence.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/engine/Sequence.java
@@ -25,6 +25,8 @@
 
 	private boolean admitted;
 
+	private boolean segment;
+
 	private Sequence(String id, int priority, long promptTokens, long answerTokens, long prefixHash) {
 		this.id = id;
 		this.priority = priority;
@@ -58,6 +60,28 @@
 		return this;
 	}
 
+	/**
+	 * Makes the sequence a part of a larger prompt: it is prefilled, signals that with
+	 * one token and then only holds its memory.
+	 * @return this sequence
+	 */
+	public Sequence asSegment() {
+		this.segment = true;
+		return this;
+	}
+
+	/**
+	 * Says whether the sequence only holds memory.
+	 * @return true for a segment that is prefilled
+	 */
+	public boolean isParked() {
+		return this.segment && this.produced > 0;
+	}
+
+	boolean isSegment() {
+		return this.segment;
+	}
+
 	/**
 	 * Skips answer tokens that an earlier attempt has produced; they are prefilled.
 	 * @param tokens the number of tokens to skip
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -147,6 +147,16 @@
 	record FirstToken(ShardId shard, String key) implements Message {
 	}
 
+	/**
+	 * Reports that an endpoint has prefilled its part of a long prompt.
+	 *
+	 * @param shard the shard
+	 * @param key the identity of the grant
+	 * @param segment the part, counted from 0
+	 */
+	record SegmentDone(ShardId shard, String key, int segment) implements Message {
+	}
+
 	/**
 	 * Ends a grant or withdraws a request.
 	 *
