--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -11,6 +11,7 @@
 import org.poplarloom.bench.capacity.SlopeExperiment;
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
+import org.poplarloom.bench.fleet.LargePromptSoak;
 import org.poplarloom.bench.fleet.ZoneExperiment;
 
 /**
@@ -22,8 +23,9 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(Map.of("slowdown",
-			Bench::slowdown, "zone", Bench::zone, "capacity", Bench::capacity, "fleet", Bench::fleet));
+	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
+			Map.of("slowdown", Bench::slowdown, "zone", Bench::zone, "capacity", Bench::capacity, "fleet", Bench::fleet,
+					"large-prompts", Bench::largePrompts));
 
 	private static final int[] FLEET_SIZES = { 3, 9, 18, 27 };
 
@@ -72,4 +74,8 @@
 		return new FleetExperiment(FLEET_SIZES, Math.min(options.seconds(), LONGEST_FLEET_SECONDS)).run();
 	}
 
+	private static Report largePrompts(BenchOptions options) {
+		return new LargePromptSoak(options.requests(), options.seed()).run();
+	}
+
 }
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/BenchOptions.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/BenchOptions.java
@@ -27,6 +27,9 @@
 	@Parameter(names = "--seconds", description = "Length of the run in seconds")
 	private double seconds = 600;
 
+	@Parameter(names = "--requests", description = "Number of requests")
+	private int requests = 500;
+
 	@Parameter(names = "--output", description = "Directory for CSV files and plots")
 	private String output = "bench-results";
 
@@ -53,6 +56,10 @@
 		return this.seconds;
 	}
 
+	int requests() {
+		return this.requests;
+	}
+
 	String output() {
 		return this.output;
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/version/ConfigurationState.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/ConfigurationState.java
@@ -61,6 +61,16 @@
 		return next.equals(this.zoneOrders) ? this : new ConfigurationState(this.configuration, next);
 	}
 
+	/**
+	 * Says whether a publication is in force, on the log or as an unconfirmed order.
+	 * @param publicationId the identity of the publish call
+	 * @return true if it was applied
+	 */
+	public boolean isInForce(String publicationId) {
+		return this.configuration.hasApplied(publicationId)
+				|| this.zoneOrders.values().stream().anyMatch((order) -> order.id().equals(publicationId));
+	}
+
 	/**
 	 * Returns the unconfirmed orders.
 	 * @return at most one per zone
--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/Commands.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/Commands.java
@@ -148,8 +148,8 @@
 		long start = System.nanoTime();
 		int shown = -1;
 		while (true) {
-			JsonNode instances = this.client.get("/status").path("instances");
-			int reached = countInForce(instances, answer);
+			JsonNode instances = this.client.get("/status?publication=" + answer.path("id").asText()).path("instances");
+			int reached = countInForce(instances);
 			if (reached != shown) {
 				System.err.println("in force at " + reached + " of " + instances.size() + " instances");
 				shown = reached;
@@ -167,13 +167,10 @@
 		}
 	}
 
-	private static int countInForce(JsonNode instances, JsonNode answer) {
+	private static int countInForce(JsonNode instances) {
 		int reached = 0;
 		for (JsonNode instance : instances) {
-			boolean hasOrder = instance.path("orderIds").toString().contains(answer.path("id").asText());
-			boolean hasOffset = instance.path("offset").asLong() >= answer.path("offset").asLong();
-			boolean isConfirmed = answer.path("isConfirmed").asBoolean();
-			reached += (hasOrder || isConfirmed && hasOffset) ? 1 : 0;
+			reached += instance.path("isInForce").asBoolean() ? 1 : 0;
 		}
 		return reached;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
@@ -165,9 +165,9 @@
 	}
 
 	@Get("/status")
-	Mono<MutableHttpResponse<String>> status(HttpRequest<?> http) {
+	Mono<MutableHttpResponse<String>> status(HttpRequest<?> http, @QueryValue @Nullable String publication) {
 		this.authentication.requireOperator(http);
-		return this.status.instances().map((instances) -> {
+		return this.status.instances(orEmpty(publication)).map((instances) -> {
 			Map<String, Object> body = new LinkedHashMap<>();
 			body.put("offset", this.node.keeper().configuration().offset());
 			body.put("logConnected", this.node.follower().isConnected());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClusterStatus.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClusterStatus.java
@@ -26,25 +26,29 @@
 
 	/**
 	 * Asks all live instances.
+	 * @param publicationId a publication to ask about, empty for none
 	 * @return one line per instance in ascending order; an instance that does not answer
 	 * has the offset {@link InstanceLine#NO_ANSWER}
 	 */
-	public Mono<List<InstanceLine>> instances() {
-		return Flux.fromIterable(this.node.instances().all()).flatMapSequential(this::ask).collectList();
+	public Mono<List<InstanceLine>> instances(String publicationId) {
+		return Flux.fromIterable(this.node.instances().all())
+			.flatMapSequential((instance) -> ask(instance, publicationId))
+			.collectList();
 	}
 
-	private Mono<InstanceLine> ask(InstanceView.Instance member) {
-		return Mono.fromFuture(
-				() -> this.node.request(member.id(), member.address(), new Message.VersionAsk(), TIMEOUT.toMillis()))
+	private Mono<InstanceLine> ask(InstanceView.Instance member, String publicationId) {
+		return Mono
+			.fromFuture(() -> this.node.request(member.id(), member.address(), new Message.VersionAsk(publicationId),
+					TIMEOUT.toMillis()))
 			.map((reply) -> line(member, reply))
-			.onErrorReturn(new InstanceLine(member.id().value(), member.zone().value(), InstanceLine.NO_ANSWER, "",
-					List.of(), 0));
+			.onErrorReturn(
+					new InstanceLine(member.id().value(), member.zone().value(), InstanceLine.NO_ANSWER, "", false, 0));
 	}
 
 	private static InstanceLine line(InstanceView.Instance member, Message reply) {
 		Message.VersionGiven version = (Message.VersionGiven) reply;
 		return new InstanceLine(member.id().value(), member.zone().value(), version.offset(),
-				Long.toHexString(version.digest()), version.orderIds(), version.grants());
+				Long.toHexString(version.digest()), version.isInForce(), version.grants());
 	}
 
 	/**
@@ -62,10 +66,10 @@
 	 * @param zone its zone
 	 * @param offset the configuration's offset
 	 * @param digest the configuration's digest in hexadecimal
-	 * @param orderIds the ids of unconfirmed zone orders
+	 * @param isInForce whether the publication that was asked about is in force
 	 * @param grants the number of requests in progress
 	 */
-	public record InstanceLine(String instance, String zone, long offset, String digest, List<String> orderIds,
+	public record InstanceLine(String instance, String zone, long offset, String digest, boolean isInForce,
 			int grants) {
 
 		/** The offset shown for an instance that does not answer. */
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -7,12 +7,14 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Hooks;
 
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.request.ChatService;
 import org.poplarloom.entry.request.EntryMetrics;
 import org.poplarloom.entry.request.Limits;
 import org.poplarloom.entry.request.OrderService;
+import org.poplarloom.entry.version.ConfigurationMaintainer;
 import org.poplarloom.entry.version.ConfigurationPublisher;
 
 /**
@@ -31,6 +33,8 @@
 
 	private static final long LIMITS_MILLIS = 500;
 
+	private static final long MAINTAIN_MILLIS = 2_000;
+
 	private static final long DRAIN_POLL_MILLIS = 50;
 
 	private static final long LEAVE_NOTICE_MILLIS = 1_500;
@@ -62,12 +66,16 @@
 	}
 
 	private void start() {
+		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
 		EntryMetrics metrics = new EntryMetrics();
 		metrics.watch(this.node);
 		Limits limits = new Limits(this.node);
 		this.node.every(LIMITS_MILLIS, limits::tick);
 		ConfigurationPublisher publisher = new ConfigurationPublisher(this.node.log(), this.node.keeper());
+		ConfigurationMaintainer maintainer = new ConfigurationMaintainer(this.node.log(), this.node.keeper(),
+				this.node.follower(), publisher, this.settings.instance(), () -> this.node.instances().ids());
+		this.node.every(MAINTAIN_MILLIS, () -> maintainer.tick(this.node.clock().nowMillis()));
 		Map<String, Object> properties = new HashMap<>();
 		properties.put("micronaut.server.host", this.settings.host());
 		properties.put("micronaut.server.port", (this.settings.httpPort() == 0) ? -1 : this.settings.httpPort());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -222,7 +222,7 @@
 			.thenAccept((reply) -> {
 				if (reply instanceof Message.ConfigurationContent content) {
 					this.keeper
-						.replace(Configuration.of(Documents.read(content.snapshot(), Configuration.Snapshot.class)));
+						.learn(Configuration.of(Documents.read(content.snapshot(), Configuration.Snapshot.class)));
 				}
 			});
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -88,15 +88,25 @@
 	}
 
 	/**
-	 * Takes over and gives up shards as membership says and ends what is overdue.
+	 * Takes over and gives up shards as membership says and frees what ended instances
+	 * held.
 	 */
-	public void tick() {
+	public void followMembership() {
 		long now = this.clock.nowMillis();
 		for (int index = 0; index < this.settings.shardsPerZone(); index++) {
 			update(new ShardId(this.settings.zone(), index), now);
 		}
+		if (!this.homes.isEmpty()) {
+			releaseEnded(now);
+		}
+	}
+
+	/**
+	 * Ends what is overdue in the own shards.
+	 */
+	public void tick() {
+		long now = this.clock.nowMillis();
 		this.homes.values().forEach((home) -> dispatch(home.shardHome().tick(now)));
-		releaseEnded(now);
 	}
 
 	private void update(ShardId shard, long now) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
@@ -58,6 +58,16 @@
 		return new Instance(InstanceId.of(listed.id()), AvailabilityZone.of(listed.zone()), listed.address());
 	}
 
+	/**
+	 * Returns the names of {@link #all()} instances.
+	 * @return the names
+	 */
+	public Set<InstanceId> ids() {
+		Set<InstanceId> ids = new HashSet<>();
+		all().forEach((instance) -> ids.add(instance.id()));
+		return ids;
+	}
+
 	/**
 	 * Returns the listed instances of the own zone that have never been heard of.
 	 * @return the instances
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -1,6 +1,5 @@
 package org.poplarloom.entry.process;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,7 +16,6 @@
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.MembershipTable;
 import org.poplarloom.core.version.Documents;
-import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.request.GrantClient;
 import org.poplarloom.entry.version.ConfigurationKeeper;
@@ -46,6 +44,8 @@
 
 	private static final long HOME_TICK_MILLIS = 50;
 
+	private static final long FOLLOW_MILLIS = 200;
+
 	private static final long POLL_MILLIS = 500;
 
 	private static final long LIST_MILLIS = 1_000;
@@ -131,7 +131,8 @@
 		this.follower.start();
 		every(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		every(HOME_TICK_MILLIS, this.homes::tick);
-		every(HOME_TICK_MILLIS, this.grants::followHomes);
+		every(FOLLOW_MILLIS, this.homes::followMembership);
+		every(FOLLOW_MILLIS, this.grants::followHomes);
 		every(POLL_MILLIS, () -> this.homes.poll().subscribe());
 		every(USAGE_TICK_MILLIS, this::publishUsage);
 		every(LIST_MILLIS, () -> this.directory.refresh().subscribe());
@@ -202,18 +203,17 @@
 		else if (message instanceof Message.Announce announce) {
 			this.homes.announce(peer, announce.shard(), announce.grants());
 		}
-		else if (message instanceof Message.VersionAsk) {
-			reply.accept(version());
+		else if (message instanceof Message.VersionAsk ask) {
+			reply.accept(version(ask.publicationId()));
 		}
 		else if (message instanceof Message.ConfigurationFetch) {
 			reply.accept(new Message.ConfigurationContent(Documents.write(this.keeper.configuration().toSnapshot())));
 		}
 	}
 
-	private Message version() {
-		List<String> orders = this.keeper.state().unconfirmedOrders().stream().map(ZoneOrder::id).toList();
+	private Message version(String publicationId) {
 		return new Message.VersionGiven(this.keeper.configuration().offset(), this.keeper.configuration().digest(),
-				orders, this.grants.heldCount());
+				this.keeper.state().isInForce(publicationId), this.grants.heldCount());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationKeeper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationKeeper.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 
 import org.poplarloom.core.version.Configuration;
+import org.poplarloom.core.version.ConfigurationReplay;
 import org.poplarloom.core.version.ConfigurationState;
 import org.poplarloom.core.version.Publication;
 import org.poplarloom.core.version.ZoneOrder;
@@ -20,6 +21,8 @@
 
 	private final List<Consumer<ConfigurationState>> listeners = new CopyOnWriteArrayList<>();
 
+	private final ConfigurationReplay replay = new ConfigurationReplay();
+
 	private volatile ConfigurationState state = ConfigurationState.EMPTY;
 
 	/**
@@ -55,20 +58,48 @@
 	}
 
 	/**
-	 * Applies a publication.
+	 * Takes a publication from the log.
 	 * @param offset its offset
-	 * @param publication the publication
+	 * @param publication the publication, or null for a record that cannot be read
+	 */
+	public synchronized void read(long offset, Publication publication) {
+		this.replay.read(offset, publication);
+		set(this.state.withConfiguration(this.replay.current()));
+	}
+
+	/**
+	 * Takes a snapshot from the log.
+	 * @param offset its offset
+	 * @param snapshot the snapshot
+	 */
+	public synchronized void read(long offset, Configuration.Snapshot snapshot) {
+		this.replay.read(offset, snapshot);
+		set(this.state.withConfiguration(this.replay.current()));
+	}
+
+	/**
+	 * Takes a configuration from a peer.
+	 * @param configuration the configuration; an older one is ignored
+	 */
+	public synchronized void learn(Configuration configuration) {
+		this.replay.learn(configuration);
+		set(this.state.withConfiguration(this.replay.current()));
+	}
+
+	/**
+	 * Returns the offset of the next record to read from the log.
+	 * @return an offset from 0
 	 */
-	public synchronized void apply(long offset, Publication publication) {
-		set(this.state.withConfiguration(configuration().plus(offset, publication)));
+	public synchronized long nextOffset() {
+		return this.replay.nextOffset();
 	}
 
 	/**
-	 * Takes over a configuration if it is newer.
-	 * @param configuration the configuration
+	 * Returns the offset of the last snapshot that was read from the log.
+	 * @return the offset, or {@link Publication#NO_OFFSET}
 	 */
-	public synchronized void replace(Configuration configuration) {
-		set(this.state.withConfiguration(configuration));
+	public synchronized long snapshotOffset() {
+		return this.replay.snapshotOffset();
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/LogFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/LogFollower.java
@@ -8,8 +8,8 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
-import org.poplarloom.core.version.Configuration;
 import org.poplarloom.core.version.Documents;
+import org.poplarloom.core.version.Publication;
 import org.poplarloom.entry.version.ConfigurationStream.StreamRecord;
 import org.poplarloom.platform.port.LogPort;
 
@@ -37,6 +37,8 @@
 
 	private volatile long firstRetained;
 
+	private volatile long next;
+
 	private volatile boolean caughtUp;
 
 	private Disposable loop;
@@ -51,7 +53,8 @@
 	 * Starts to follow.
 	 */
 	public void start() {
-		this.loop = Mono.defer(() -> Mono.from(this.log.read(ConfigurationStream.NAME, nextOffset(), waitMillis())))
+		this.loop = Mono
+			.defer(() -> Mono.from(this.log.read(ConfigurationStream.NAME, this.keeper.nextOffset(), waitMillis())))
 			.publishOn(this.scheduler)
 			.doOnNext(this::apply)
 			.doOnError((failure) -> lost(failure))
@@ -60,10 +63,6 @@
 			.subscribe();
 	}
 
-	private long nextOffset() {
-		return this.keeper.configuration().offset() + 1;
-	}
-
 	private long waitMillis() {
 		return this.caughtUp ? WAIT_MILLIS : 0;
 	}
@@ -79,7 +78,8 @@
 		this.connected = true;
 		this.firstRetained = page.first();
 		page.records().forEach(this::apply);
-		this.caughtUp = nextOffset() >= page.next();
+		this.next = page.next();
+		this.caughtUp = this.keeper.nextOffset() >= page.next();
 	}
 
 	private void apply(LogPort.Entry entry) {
@@ -89,14 +89,14 @@
 		}
 		catch (RuntimeException ex) {
 			logger.error("configuration record {} cannot be read: {}", entry.offset(), ex.getMessage());
-			this.keeper.replace(this.keeper.configuration().withOffset(entry.offset()));
+			this.keeper.read(entry.offset(), (Publication) null);
 			return;
 		}
-		if (read.publication() != null) {
-			this.keeper.apply(entry.offset(), read.publication());
+		if (read.snapshot() != null) {
+			this.keeper.read(entry.offset(), read.snapshot());
 		}
-		else if (read.snapshot() != null) {
-			this.keeper.replace(Configuration.of(read.snapshot()).withOffset(entry.offset()));
+		else {
+			this.keeper.read(entry.offset(), read.publication());
 		}
 	}
 
@@ -116,6 +116,14 @@
 		return this.caughtUp;
 	}
 
+	/**
+	 * Returns the offset after the last record of the log.
+	 * @return the offset at the last read
+	 */
+	public long next() {
+		return this.next;
+	}
+
 	/**
 	 * Returns the first offset that the log retains.
 	 * @return the offset at the last read
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 import com.sun.net.httpserver.Headers;
@@ -59,6 +60,8 @@
 
 	private volatile long downUntilMillis;
 
+	private final AtomicLong producedTokens = new AtomicLong();
+
 	private long highestFence;
 
 	private int highestConcurrency;
@@ -98,6 +101,7 @@
 	}
 
 	private void deliver(Sequence sequence) {
+		this.producedTokens.incrementAndGet();
 		BlockingQueue<Long> stream = this.streams.get(sequence.id());
 		if (stream != null) {
 			stream.add(sequence.produced());
@@ -407,6 +411,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of tokens produced since the stand-in was made.
+	 * @return tokens
+	 */
+	public long producedTokens() {
+		return this.producedTokens.get();
+	}
+
 	/**
 	 * Returns when the engine got its last request.
 	 * @return the time in milliseconds since the epoch, 0 if there was none
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -178,8 +178,10 @@
 
 	/**
 	 * Asks which configuration is in force.
+	 *
+	 * @param publicationId a publication to ask about, empty for none
 	 */
-	record VersionAsk() implements Message {
+	record VersionAsk(String publicationId) implements Message {
 	}
 
 	/**
@@ -187,10 +189,10 @@
 	 *
 	 * @param offset the offset
 	 * @param digest the digest
-	 * @param orderIds the ids of unconfirmed zone orders
+	 * @param isInForce whether the publication that was asked about is in force
 	 * @param grants the number of grants that the sender uses
 	 */
-	record VersionGiven(long offset, long digest, List<String> orderIds, int grants) implements Message {
+	record VersionGiven(long offset, long digest, boolean isInForce, int grants) implements Message {
 	}
 
 }
