Send configuration changes instead of whole configurations between peers

Change: peers answer with the entries changed since the asker's offset, and a peer is asked only when the log has not brought the change within a second; claim streams are split into 256 buckets a minute, because every order reads its whole stream. Measured: 582 bytes for one change instead of 798,559.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
@@ -1,6 +1,7 @@
 package org.poplarloom.bench.capacity;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,6 +40,7 @@
 import org.poplarloom.core.version.Publication;
 import org.poplarloom.core.version.ServiceTerms;
 import org.poplarloom.entry.request.Fingerprint;
+import org.poplarloom.platform.port.InstanceListPort.Listed;
 import org.poplarloom.wire.message.Message;
 import org.poplarloom.wire.message.MessageCodec;
 import org.poplarloom.wire.message.MessageCodec.Envelope;
@@ -95,6 +97,8 @@
 		bytes("state: endpoint ledger", (size) -> homeWith(size));
 		bytes("state: held grant", (size) -> homeWithGrants(size));
 		bytes("state: contract", SlopeExperiment::configurationWith);
+		bytes("state: remembered publication", SlopeExperiment::rememberedIds);
+		bytes("state: listed instance", (size) -> fill(size, SlopeExperiment::listed));
 		bytes("state: team limiter", (size) -> fill(size, (i) -> TeamLimiter.of(contract(1), 1, 0)));
 		bytes("state: member", (size) -> fill(size, SlopeExperiment::member));
 		bytes("state: shard status", (size) -> fill(size, SlopeExperiment::status));
@@ -142,6 +146,9 @@
 				size(new Message.GrantGiven(grant(1), List.of("10.10.10.10:8000"), List.of("gijon-engine-123-1"))));
 		fixed("message: first token", size(new Message.FirstToken(SHARD, request(1).key())));
 		fixed("message: release", size(new Message.Release(SHARD, request(1).key(), null)));
+		Configuration changed = configurationWith(1_700).plus(1_701, publication(7, "new"));
+		fixed("message: configuration change",
+				size(new Message.ConfigurationContent(Documents.write(changed.changesSince(1_700)))));
 		fixed("record: claim", Documents.write(claim(1)).length());
 		fixed("record: outcome", Documents.write(claim(1).withOutcome(200, "application/json", "{\"ok\":1}")).length());
 	}
@@ -264,7 +271,20 @@
 		for (int i = 0; i < contracts; i++) {
 			entries.add(new Configuration.Entry(i, new Change.PutContract(contract(i))));
 		}
-		return Configuration.of(new Configuration.Snapshot(contracts, entries, Map.of()));
+		return Configuration.of(new Configuration.Snapshot(Publication.NO_OFFSET, contracts, entries, Map.of()));
+	}
+
+	private static Object rememberedIds(int size) {
+		Map<String, Long> ids = new LinkedHashMap<>();
+		for (long i = 0; i < size; i++) {
+			ids.put("0b5e8a9c-3a52-4b0c-9d7e-" + i, i);
+		}
+		return ids;
+	}
+
+	private static Listed listed(int index) {
+		return new Listed("gijon-engine-" + index, new String("engine"), new String("gijon"), "10.10.10.10:" + index,
+				false);
 	}
 
 	private static Member member(int index) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/version/Configuration.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/Configuration.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.InstanceId;
@@ -48,14 +50,11 @@
 
 	/**
 	 * Returns the configuration that a snapshot describes.
-	 * @param snapshot the snapshot
+	 * @param snapshot a snapshot of the whole content
 	 * @return the configuration
 	 */
 	public static Configuration of(Snapshot snapshot) {
-		Map<String, Entry> entries = new HashMap<>();
-		snapshot.entries().forEach((entry) -> entries.put(entry.change().subject().value(), entry));
-		return new Configuration(snapshot.offset(), entries, new LinkedHashMap<>(snapshot.appliedIds()),
-				indexKeys(entries));
+		return EMPTY.with(snapshot);
 	}
 
 	private static Map<String, Contract> indexKeys(Map<String, Entry> entries) {
@@ -205,9 +204,7 @@
 		nextEntries.put(publication.change().subject().value(), new Entry(at, publication.change()));
 		Map<String, Long> nextIds = new LinkedHashMap<>(this.appliedIds);
 		nextIds.put(publication.id(), at);
-		if (nextIds.size() > REMEMBERED_IDS) {
-			nextIds.remove(nextIds.keySet().iterator().next());
-		}
+		trim(nextIds);
 		boolean isContract = publication.change() instanceof Change.PutContract;
 		Map<String, Contract> index = isContract ? indexKeys(nextEntries) : this.contractsByKeyHash;
 		return new Configuration(at, nextEntries, nextIds, index);
@@ -230,10 +227,49 @@
 
 	/**
 	 * Returns a description from which an equal configuration can be made.
-	 * @return the snapshot
+	 * @return the snapshot of the whole content
 	 */
 	public Snapshot toSnapshot() {
-		return new Snapshot(this.offset, List.copyOf(this.entries.values()), this.appliedIds);
+		return changesSince(Publication.NO_OFFSET);
+	}
+
+	/**
+	 * Returns what has changed since an offset.
+	 * @param baseOffset the offset that the reader has
+	 * @return the changes
+	 */
+	public Snapshot changesSince(long baseOffset) {
+		List<Entry> changed = this.entries.values().stream().filter((entry) -> entry.offset() > baseOffset).toList();
+		Map<String, Long> ids = new LinkedHashMap<>();
+		this.appliedIds.forEach((id, at) -> {
+			if (at > baseOffset) {
+				ids.put(id, at);
+			}
+		});
+		return new Snapshot(baseOffset, this.offset, changed, ids);
+	}
+
+	/**
+	 * Returns the configuration after the changes that a snapshot describes.
+	 * @param snapshot the snapshot; one that is older or starts later is ignored
+	 * @return the next version
+	 */
+	public Configuration with(Snapshot snapshot) {
+		if (snapshot.offset() <= this.offset || snapshot.baseOffset() > this.offset) {
+			return this;
+		}
+		Map<String, Entry> nextEntries = new HashMap<>(this.entries);
+		snapshot.entries().forEach((entry) -> nextEntries.put(entry.change().subject().value(), entry));
+		Map<String, Long> nextIds = new LinkedHashMap<>(this.appliedIds);
+		nextIds.putAll(snapshot.appliedIds());
+		trim(nextIds);
+		return new Configuration(snapshot.offset(), nextEntries, nextIds, indexKeys(nextEntries));
+	}
+
+	private static void trim(Map<String, Long> ids) {
+		while (ids.size() > REMEMBERED_IDS) {
+			ids.remove(ids.keySet().iterator().next());
+		}
 	}
 
 	@Override
@@ -251,13 +287,25 @@
 	}
 
 	/**
-	 * The whole content of a configuration.
+	 * The content of a configuration, or what has changed in it since an offset.
 	 *
+	 * @param baseOffset the offset that the reader must have,
+	 * {@link Publication#NO_OFFSET} for the whole content
 	 * @param offset the highest offset covered
-	 * @param entries the last change of each subject
-	 * @param appliedIds the ids of recent publications with their offsets
+	 * @param entries the last change of each subject that has changed after the base
+	 * @param appliedIds the ids of recent publications after the base with their offsets
 	 */
-	public record Snapshot(long offset, List<Entry> entries, Map<String, Long> appliedIds) {
+	public record Snapshot(long baseOffset, long offset, List<Entry> entries, Map<String, Long> appliedIds) {
+
+		/**
+		 * Says whether the snapshot needs nothing before it.
+		 * @return true if it covers the whole content
+		 */
+		@JsonIgnore
+		public boolean isWhole() {
+			return this.baseOffset == Publication.NO_OFFSET;
+		}
+
 	}
 
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/version/ConfigurationReplay.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/ConfigurationReplay.java
@@ -84,17 +84,15 @@
 		}
 		this.snapshotOffset = offset;
 		read(offset, (Publication) null);
-		learn(Configuration.of(snapshot));
+		learn(snapshot);
 	}
 
 	/**
-	 * Takes a configuration from a peer.
-	 * @param configuration the configuration; an older one is ignored
+	 * Takes what a peer knows.
+	 * @param snapshot the peer's whole content or its changes; older ones are ignored
 	 */
-	public void learn(Configuration configuration) {
-		if (configuration.offset() > this.current.offset()) {
-			this.current = configuration;
-		}
+	public void learn(Configuration.Snapshot snapshot) {
+		this.current = this.current.with(snapshot);
 		this.waiting.removeIf((entry) -> entry.offset() <= this.current.offset());
 		while (!this.waiting.isEmpty() && this.waiting.get(0).offset() == this.current.offset() + 1) {
 			Waiting entry = this.waiting.remove(0);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClaimLog.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClaimLog.java
@@ -31,9 +31,9 @@
 
 	private static final long SLICE_MILLIS = 60_000;
 
-	private static final int BUCKETS = 4;
+	private static final int BUCKETS = 256;
 
-	private static final int CACHED_STREAMS = 256;
+	private static final int CACHED_STREAMS = 512;
 
 	private static final int APPEND_TRIES = 3;
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -16,6 +16,7 @@
 import org.poplarloom.core.version.Configuration;
 import org.poplarloom.core.version.ConfigurationState;
 import org.poplarloom.core.version.Documents;
+import org.poplarloom.core.version.Publication;
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ConfigurationKeeper;
@@ -42,6 +43,8 @@
 
 	private static final long GOSSIP_MILLIS_PER_MEMBER = 75;
 
+	private static final long LOG_GRACE_MILLIS = 1_000;
+
 	private static final long FORGET_MILLIS = 120_000;
 
 	private static final long FETCH_TIMEOUT_MILLIS = 2_000;
@@ -66,6 +69,10 @@
 
 	private final AtomicBoolean fetching = new AtomicBoolean();
 
+	private long missedOffset = Publication.NO_OFFSET;
+
+	private long missedMillis;
+
 	private long heartbeatMillis;
 
 	private long gossipMillis;
@@ -211,9 +218,20 @@
 		fetchIfNewer(sender, gossip.offset());
 	}
 
+	// The log usually brings the same change at once, so it is given a little time.
+	private synchronized boolean isOverdue(long offset) {
+		long now = this.clock.nowMillis();
+		if (this.missedOffset <= this.keeper.configuration().offset()) {
+			this.missedOffset = offset;
+			this.missedMillis = now;
+		}
+		boolean hasNothing = !this.keeper.isLoaded();
+		return hasNothing || now - this.missedMillis >= LOG_GRACE_MILLIS;
+	}
+
 	private void fetchIfNewer(Member from, long offset) {
 		boolean isNewer = offset > this.keeper.configuration().offset();
-		if (!isNewer || !this.fetching.compareAndSet(false, true)) {
+		if (!isNewer || !isOverdue(offset) || !this.fetching.compareAndSet(false, true)) {
 			return;
 		}
 		Message question = new Message.ConfigurationFetch(this.keeper.configuration().offset());
@@ -221,8 +239,7 @@
 			.whenComplete((reply, failure) -> this.fetching.set(false))
 			.thenAccept((reply) -> {
 				if (reply instanceof Message.ConfigurationContent content) {
-					this.keeper
-						.learn(Configuration.of(Documents.read(content.snapshot(), Configuration.Snapshot.class)));
+					this.keeper.learn(Documents.read(content.snapshot(), Configuration.Snapshot.class));
 				}
 			});
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -206,8 +206,9 @@
 		else if (message instanceof Message.VersionAsk ask) {
 			reply.accept(version(ask.publicationId()));
 		}
-		else if (message instanceof Message.ConfigurationFetch) {
-			reply.accept(new Message.ConfigurationContent(Documents.write(this.keeper.configuration().toSnapshot())));
+		else if (message instanceof Message.ConfigurationFetch fetch) {
+			reply.accept(new Message.ConfigurationContent(
+					Documents.write(this.keeper.configuration().changesSince(fetch.offset()))));
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationKeeper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationKeeper.java
@@ -78,11 +78,11 @@
 	}
 
 	/**
-	 * Takes a configuration from a peer.
-	 * @param configuration the configuration; an older one is ignored
+	 * Takes what a peer knows.
+	 * @param snapshot the peer's whole content or its changes; older ones are ignored
 	 */
-	public synchronized void learn(Configuration configuration) {
-		this.replay.learn(configuration);
+	public synchronized void learn(Configuration.Snapshot snapshot) {
+		this.replay.learn(snapshot);
 		set(this.state.withConfiguration(this.replay.current()));
 	}
 
