Announce grants to a new home until it has taken them over

Holders announced once, when their own view changed, which is often before the new home has taken the shard over; and grants announced before an endpoint's first report were not counted on it. Change: an announcement is confirmed and repeated until then; a release in between goes to both homes; a ledger that is created later counts the grants already held.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -167,14 +167,17 @@
 	}
 
 	private void hold(InstanceId holder, Grant grant, long nowMillis) {
+		forEachLedger(grant, (ledger) -> holdOn(ledger, grant, nowMillis));
+		this.held.put(grant.key(), new Held(holder, grant));
+	}
+
+	private static void holdOn(EndpointLedger ledger, Grant grant, long nowMillis) {
 		for (int i = 0; i < grant.shares().size(); i++) {
 			Share share = grant.shares().get(i);
-			EndpointLedger ledger = this.ledgers.get(share.endpoint());
-			if (ledger != null) {
+			if (share.endpoint().equals(ledger.endpoint())) {
 				ledger.hold(grant, share.kvTokens(), i == 0, nowMillis);
 			}
 		}
-		this.held.put(grant.key(), new Held(holder, grant));
 	}
 
 	/**
@@ -403,7 +406,9 @@
 		if (ledger == null) {
 			long startedMillis = nowMillis - report.uptimeMillis();
 			ColdStartRamp ramp = ColdStartRamp.startingAt(this.rampSettings, startedMillis);
-			this.ledgers.put(report.endpoint(), new EndpointLedger(report, ramp));
+			EndpointLedger added = new EndpointLedger(report, ramp);
+			this.ledgers.put(report.endpoint(), added);
+			this.held.values().forEach((entry) -> holdOn(added, entry.grant(), nowMillis));
 			return;
 		}
 		ledger.observe(report, nowMillis).forEach(this::free);
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/ShardHomeTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/ShardHomeTests.java
@@ -149,6 +149,16 @@
 			Assert.assertEquals(home.observe(newer, Set.of(), 20).size(), 1);
 		}
 
+		@Test
+		public void grantsAnnouncedBeforeTheFirstReportCount() {
+			ShardHome home = ShardHome.of(new AdaptivePlacement(), RAMP, 0);
+			Grant running = new Grant(request("old", 1_000, 900_000), List.of(new Share(EndpointId.of("e0"), 1_100)),
+					org.poplarloom.core.FenceNumber.NONE, 900_000, 0);
+			home.announce(HOLDER, running, 0);
+			home.observe(reports(1, WARM_MILLIS), Set.of(), 10);
+			Assert.assertEquals(home.runningOn(EndpointId.of("e0")), 1);
+		}
+
 		@Test
 		public void rampGoesOnWhenTheHomeChangesInItsMiddle() {
 			ShardHome next = ShardHome.of(new AdaptivePlacement(), RAMP, 5_000);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -255,13 +255,16 @@
 	 * @param holder the instance that holds them
 	 * @param shard the shard
 	 * @param grants the grants
+	 * @return whether this instance is the home; if not, the holder has to try again
 	 */
-	public void announce(InstanceId holder, ShardId shard, List<Grant> grants) {
+	public boolean announce(InstanceId holder, ShardId shard, List<Grant> grants) {
 		Home home = this.homes.get(shard);
-		if (home != null) {
-			long now = this.clock.nowMillis();
-			grants.forEach((grant) -> home.shardHome().announce(holder, grant, now));
+		if (home == null) {
+			return false;
 		}
+		long now = this.clock.nowMillis();
+		grants.forEach((grant) -> home.shardHome().announce(holder, grant, now));
+		return true;
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -209,7 +209,7 @@
 			this.homes.release(release.shard(), release.key(), release.failedEndpoint());
 		}
 		else if (message instanceof Message.Announce announce) {
-			this.homes.announce(peer, announce.shard(), announce.grants());
+			reply.accept(new Message.Announced(this.homes.announce(peer, announce.shard(), announce.grants())));
 		}
 		else if (message instanceof Message.VersionAsk ask) {
 			reply.accept(version(ask.publicationId()));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -16,6 +16,7 @@
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.HomeSummary;
 import org.poplarloom.core.process.ShardId;
 import org.poplarloom.core.process.ShardStatus;
 import org.poplarloom.core.request.Grant;
@@ -37,6 +38,8 @@
 
 	private static final long LONGEST_SEARCH_MILLIS = 15_000;
 
+	private static final long ANNOUNCE_TIMEOUT_MILLIS = 1_000;
+
 	private static final long SHORTEST_WAIT_MILLIS = 1;
 
 	private final HomeSelector selector;
@@ -49,6 +52,8 @@
 
 	private final Map<String, PendingAsk> pending = new ConcurrentHashMap<>();
 
+	private final Set<ShardId> announcing = ConcurrentHashMap.newKeySet();
+
 	public GrantClient(HomeSelector selector, Peers peers, Clock clock) {
 		this.selector = selector;
 		this.peers = peers;
@@ -141,11 +146,15 @@
 	 */
 	public void release(HeldGrant grant, EndpointId failedEndpoint) {
 		HeldGrant current = this.held.remove(grant.grant().key());
-		if (current != null) {
-			ShardStatus home = current.home();
-			this.peers.send(home.home(), home.address(),
-					new Message.Release(home.shard(), grant.grant().key(), failedEndpoint));
+		if (current == null) {
+			return;
 		}
+		ShardStatus home = current.home();
+		Message release = new Message.Release(home.shard(), grant.grant().key(), failedEndpoint);
+		this.peers.send(home.home(), home.address(), release);
+		this.selector.current(home.shard())
+			.filter((next) -> !next.home().equals(home.home()))
+			.ifPresent((next) -> this.peers.send(next.home(), next.address(), release));
 	}
 
 	/**
@@ -157,16 +166,34 @@
 				ask.reply().completeExceptionally(new PoplarloomException(ErrorCode.NOT_HOME, "home has moved"));
 			}
 		}
-		Map<ShardId, List<Grant>> moved = new HashMap<>();
+		Map<ShardStatus, List<Grant>> moved = new HashMap<>();
 		for (HeldGrant grant : this.held.values()) {
-			Optional<ShardStatus> current = this.selector.current(grant.home().shard());
-			if (current.isPresent() && !current.get().home().equals(grant.home().home())) {
-				this.held.computeIfPresent(grant.grant().key(), (key, value) -> value.withHome(current.get()));
-				moved.computeIfAbsent(grant.home().shard(), (key) -> new ArrayList<>()).add(grant.grant());
-			}
+			this.selector.current(grant.home().shard())
+				.filter((current) -> !current.home().equals(grant.home().home()))
+				.ifPresent((current) -> moved.computeIfAbsent(withoutLoad(current), (key) -> new ArrayList<>())
+					.add(grant.grant()));
+		}
+		moved.forEach(this::announce);
+	}
+
+	private static ShardStatus withoutLoad(ShardStatus status) {
+		return new ShardStatus(status.shard(), status.home(), status.address(), 0, HomeSummary.UNKNOWN);
+	}
+
+	// Repeated with each round until the new home has taken the grants over.
+	private void announce(ShardStatus home, List<Grant> grants) {
+		if (!this.announcing.add(home.shard())) {
+			return;
 		}
-		moved.forEach((shard, grants) -> this.selector.current(shard)
-			.ifPresent((home) -> this.peers.send(home.home(), home.address(), new Message.Announce(shard, grants))));
+		this.peers
+			.request(home.home(), home.address(), new Message.Announce(home.shard(), grants), ANNOUNCE_TIMEOUT_MILLIS)
+			.whenComplete((reply, failure) -> {
+				this.announcing.remove(home.shard());
+				if (reply instanceof Message.Announced announced && announced.isHome()) {
+					grants.forEach(
+							(grant) -> this.held.computeIfPresent(grant.key(), (key, value) -> value.withHome(home)));
+				}
+			});
 	}
 
 	private boolean hasMoved(ShardStatus home) {
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -429,6 +429,16 @@
 		}
 	}
 
+	/**
+	 * Returns the highest fence number seen.
+	 * @return a number from 0
+	 */
+	public long highestFence() {
+		synchronized (this.model) {
+			return this.highestFence;
+		}
+	}
+
 	/**
 	 * Returns the memory in use.
 	 * @return tokens
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -177,6 +177,14 @@
 	record Announce(ShardId shard, List<Grant> grants) implements Message {
 	}
 
+	/**
+	 * Confirms that announced grants are in the home's ledger.
+	 *
+	 * @param isHome whether the sender is the home; if not, nothing was taken over
+	 */
+	record Announced(boolean isHome) implements Message {
+	}
+
 	/**
 	 * Asks which configuration is in force.
 	 *
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -29,7 +29,8 @@
 			Message.Welcome.class, Message.Failure.class, Message.Gossip.class, Message.ConfigurationFetch.class,
 			Message.ConfigurationContent.class, Message.GrantAsk.class, Message.GrantGiven.class,
 			Message.GrantDenied.class, Message.FirstToken.class, Message.Release.class, Message.Announce.class,
-			Message.VersionAsk.class, Message.VersionGiven.class, Message.Heartbeat.class, Message.SegmentDone.class);
+			Message.VersionAsk.class, Message.VersionGiven.class, Message.Heartbeat.class, Message.SegmentDone.class,
+			Message.Announced.class);
 
 	private MessageCodec() {
 	}
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -59,7 +59,8 @@
 				new Message.GrantDenied(ErrorCode.ZONE_OUT, 5), new Message.FirstToken(SHARD, "k"),
 				new Message.Release(SHARD, "k", null), new Message.Release(SHARD, "k", EndpointId.of("e")),
 				new Message.Announce(SHARD, List.of(GRANT)), new Message.SegmentDone(SHARD, "k", 2),
-				new Message.VersionAsk("p"), new Message.VersionGiven(1, 2, true, 3), new Message.Heartbeat(1, 2, 3, 4,
+				new Message.Announced(true), new Message.VersionAsk("p"), new Message.VersionGiven(1, 2, true, 3),
+				new Message.Heartbeat(1, 2, 3, 4,
 						List.of(new Message.ShardLoad(5, new HomeSummary(1, 2, 3, 4, true)))) };
 	}
 
