--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -12,6 +12,7 @@
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
 import org.poplarloom.bench.fleet.LargePromptSoak;
+import org.poplarloom.bench.fleet.RelayExperiment;
 import org.poplarloom.bench.fleet.ZoneExperiment;
 
 /**
@@ -25,11 +26,11 @@
 
 	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
 			Map.of("slowdown", Bench::slowdown, "zone", Bench::zone, "capacity", Bench::capacity, "fleet", Bench::fleet,
-					"large-prompts", Bench::largePrompts));
+					"large-prompts", Bench::largePrompts, "relay", Bench::relay));
 
 	private static final int[] FLEET_SIZES = { 3, 9, 27 };
 
-	private static final double LONGEST_FLEET_SECONDS = 30;
+	private static final double LONGEST_CASE_SECONDS = 30;
 
 	private Bench() {
 	}
@@ -71,11 +72,15 @@
 	}
 
 	private static Report fleet(BenchOptions options) {
-		return new FleetExperiment(FLEET_SIZES, Math.min(options.seconds(), LONGEST_FLEET_SECONDS)).run();
+		return new FleetExperiment(FLEET_SIZES, Math.min(options.seconds(), LONGEST_CASE_SECONDS)).run();
 	}
 
 	private static Report largePrompts(BenchOptions options) {
 		return new LargePromptSoak(options.requests(), options.seed()).run();
 	}
 
+	private static Report relay(BenchOptions options) {
+		return new RelayExperiment(options.seed(), Math.min(options.seconds(), LONGEST_CASE_SECONDS)).run();
+	}
+
 }
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/PlatformClient.java
+++ b/poplarloom-platform/src/main/java/org/poplarloom/platform/http/PlatformClient.java
@@ -23,6 +23,8 @@
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
 
+	private static final int EVENT_LOOP_THREADS = 4;
+
 	private static final int LARGEST_ANSWER_BYTES = 64 * 1024 * 1024;
 
 	private final StreamingHttpClient client;
@@ -42,6 +44,7 @@
 		configuration.setReadIdleTimeout(null);
 		configuration.setMaxContentLength(LARGEST_ANSWER_BYTES);
 		configuration.setFollowRedirects(false);
+		configuration.setNumOfThreads(EVENT_LOOP_THREADS);
 		return new PlatformClient(StreamingHttpClient.create(null, configuration));
 	}
 
