--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -2,14 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.concurrent.locks.ReentrantLock;
-import java.util.function.Predicate;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
@@ -44,22 +38,16 @@
 
 	private static final double URGENT_SLACK_RATIO = 1.5;
 
-	private final ReentrantLock lock = new ReentrantLock();
-
 	private final PlacementPolicy policy;
 
 	private final ColdStartRamp.Settings rampSettings;
 
-	private final TreeMap<EndpointId, EndpointLedger> ledgers = new TreeMap<>();
-
-	private final Map<String, Held> held = new HashMap<>();
+	private final ShardLedger ledger;
 
 	private final GrantQueue queue;
 
 	private final ShortLoad shortLoad = new ShortLoad();
 
-	private List<EndpointLedger> ledgerList = List.of();
-
 	private FenceNumber fence = FenceNumber.NONE;
 
 	private long settledMillis;
@@ -71,6 +59,7 @@
 	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settledMillis) {
 		this.policy = policy;
 		this.rampSettings = rampSettings;
+		this.ledger = new ShardLedger(rampSettings);
 		this.settledMillis = settledMillis;
 		this.queue = new GrantQueue(policy.isClassed());
 	}
@@ -94,37 +83,34 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the decision
 	 */
-	public GrantDecision request(InstanceId holder, GrantRequest request, long nowMillis) {
-		this.lock.lock();
-		try {
-			Held known = this.held.get(request.key());
-			if (known != null) {
-				return new GrantDecision.Granted(known.grant());
-			}
-			if (!request.lengthClass().isLong()) {
-				this.shortLoad.add(request.promptTokens(), nowMillis);
-			}
-			ErrorCode refusal = refusal(request, nowMillis);
-			if (refusal != null) {
-				return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
-			}
-			Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, nowMillis) : null;
-			if (grant != null) {
-				return new GrantDecision.Granted(grant);
-			}
-			this.queue.add(holder, request);
-			return new GrantDecision.Queued(request.requestId(), request.attempt());
+	public synchronized GrantDecision request(InstanceId holder, GrantRequest request, long nowMillis) {
+		Grant known = this.ledger.grant(request.key());
+		if (known != null) {
+			return new GrantDecision.Granted(known);
+		}
+		if (!request.lengthClass().isLong()) {
+			this.shortLoad.add(request.promptTokens(), nowMillis);
+		}
+		ErrorCode refusal = refusal(request, nowMillis);
+		if (refusal != null) {
+			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
 		}
-		finally {
-			this.lock.unlock();
+		Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, nowMillis) : null;
+		if (grant != null) {
+			return new GrantDecision.Granted(grant);
 		}
+		this.queue.add(holder, request);
+		return new GrantDecision.Queued(request.requestId(), request.attempt());
 	}
 
 	private ErrorCode refusal(GrantRequest request, long nowMillis) {
 		if (this.out) {
 			return ErrorCode.ZONE_OUT;
 		}
-		List<EndpointLedger> serving = this.ledgerList.stream().filter((ledger) -> ledger.mayServe(request)).toList();
+		List<EndpointLedger> serving = this.ledger.endpoints()
+			.stream()
+			.filter((ledger) -> ledger.mayServe(request))
+			.toList();
 		long capacity = serving.stream().mapToLong((ledger) -> ledger.report().kvTokens()).sum();
 		if (capacity < request.kvTokens()) {
 			return ErrorCode.NO_ENDPOINT;
@@ -145,56 +131,37 @@
 		if (nowMillis < this.settledMillis && !mayGrantUnsettled(request)) {
 			return null;
 		}
-		List<Share> shares = this.policy.place(request, this.ledgerList, this.shortLoad, nowMillis);
+		List<Share> shares = this.policy.place(request, this.ledger.endpoints(), this.shortLoad, nowMillis);
 		if (shares.isEmpty()) {
 			return null;
 		}
 		long expiry = request.deadlineMillis() + GRANT_SLACK_MILLIS;
 		int priority = this.policy.priority(request, isUrgent(request, nowMillis));
 		Grant grant = new Grant(request, shares, this.fence, expiry, priority);
-		hold(holder, grant, nowMillis);
+		this.ledger.hold(holder, grant, nowMillis);
 		return grant;
 	}
 
 	private boolean mayGrantUnsettled(GrantRequest request) {
-		long running = this.held.size();
-		return !request.lengthClass().isLong() && running < (long) this.rampSettings.floor() * this.ledgers.size();
+		long running = this.ledger.heldCount();
+		return !request.lengthClass().isLong()
+				&& running < (long) this.rampSettings.floor() * this.ledger.endpoints().size();
 	}
 
 	private boolean isUrgent(GrantRequest request, long nowMillis) {
-		double needed = this.ledgerList.get(0).prefillMillis(request.promptTokens());
+		double needed = this.ledger.endpoints().get(0).prefillMillis(request.promptTokens());
 		return nowMillis + needed * URGENT_SLACK_RATIO > request.deadlineMillis();
 	}
 
-	private void hold(InstanceId holder, Grant grant, long nowMillis) {
-		forEachLedger(grant, (ledger) -> holdOn(ledger, grant, nowMillis));
-		this.held.put(grant.key(), new Held(holder, grant));
-	}
-
-	private static void holdOn(EndpointLedger ledger, Grant grant, long nowMillis) {
-		for (int i = 0; i < grant.shares().size(); i++) {
-			Share share = grant.shares().get(i);
-			if (share.endpoint().equals(ledger.endpoint())) {
-				ledger.hold(grant, share.kvTokens(), i == 0, nowMillis);
-			}
-		}
-	}
-
 	/**
 	 * Takes over a grant of a previous home that its holder still uses.
 	 * @param holder the instance that holds the grant
 	 * @param grant the grant
 	 * @param nowMillis the time in milliseconds since the epoch
 	 */
-	public void announce(InstanceId holder, Grant grant, long nowMillis) {
-		this.lock.lock();
-		try {
-			this.queue.remove(grant.key());
-			hold(holder, grant, nowMillis);
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized void announce(InstanceId holder, Grant grant, long nowMillis) {
+		this.queue.remove(grant.key());
+		this.ledger.hold(holder, grant, nowMillis);
 	}
 
 	/**
@@ -203,19 +170,13 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> firstToken(String key, long nowMillis) {
-		this.lock.lock();
-		try {
-			Held found = this.held.get(key);
-			if (found == null) {
-				return List.of();
-			}
-			forEachLedger(found.grant(), (ledger) -> ledger.firstToken(key, nowMillis));
-			return found.grant().request().lengthClass().isLong() ? pump(nowMillis) : List.of();
-		}
-		finally {
-			this.lock.unlock();
+	public synchronized List<HomeDecision> firstToken(String key, long nowMillis) {
+		Grant found = this.ledger.grant(key);
+		if (found == null) {
+			return List.of();
 		}
+		this.ledger.forEachEndpoint(found, (endpoint) -> endpoint.firstToken(key, nowMillis));
+		return found.request().lengthClass().isLong() ? pump(nowMillis) : List.of();
 	}
 
 	/**
@@ -225,26 +186,20 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> segmentDone(String key, int segment, long nowMillis) {
-		this.lock.lock();
-		try {
-			Held found = this.held.get(key);
-			if (found == null || segment < 0 || segment + 1 >= found.grant().shares().size()) {
-				return List.of();
-			}
-			EndpointLedger done = this.ledgers.get(found.grant().shares().get(segment).endpoint());
-			EndpointLedger next = this.ledgers.get(found.grant().shares().get(segment + 1).endpoint());
-			if (done != null) {
-				done.firstToken(key, nowMillis);
-			}
-			if (next != null) {
-				next.startPrefill(key);
-			}
-			return pump(nowMillis);
+	public synchronized List<HomeDecision> segmentDone(String key, int segment, long nowMillis) {
+		Grant found = this.ledger.grant(key);
+		if (found == null || segment < 0 || segment + 1 >= found.shares().size()) {
+			return List.of();
+		}
+		EndpointLedger done = this.ledger.endpoint(found.shares().get(segment).endpoint());
+		EndpointLedger next = this.ledger.endpoint(found.shares().get(segment + 1).endpoint());
+		if (done != null) {
+			done.firstToken(key, nowMillis);
 		}
-		finally {
-			this.lock.unlock();
+		if (next != null) {
+			next.startPrefill(key);
 		}
+		return pump(nowMillis);
 	}
 
 	/**
@@ -253,15 +208,9 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> release(String key, long nowMillis) {
-		this.lock.lock();
-		try {
-			this.queue.remove(key);
-			return free(key) ? pump(nowMillis) : List.of();
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized List<HomeDecision> release(String key, long nowMillis) {
+		this.queue.remove(key);
+		return this.ledger.free(key) ? pump(nowMillis) : List.of();
 	}
 
 	/**
@@ -270,42 +219,12 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> releaseHolder(InstanceId holder, long nowMillis) {
-		this.lock.lock();
-		try {
-			this.queue.all()
-				.stream()
-				.filter((waiting) -> waiting.holder().equals(holder))
-				.forEach((waiting) -> this.queue.remove(waiting.request().key()));
-			return freeIf((entry) -> entry.holder().equals(holder)) ? pump(nowMillis) : List.of();
-		}
-		finally {
-			this.lock.unlock();
-		}
-	}
-
-	private boolean freeIf(Predicate<Held> condition) {
-		List<String> keys = this.held.values().stream().filter(condition).map((entry) -> entry.grant().key()).toList();
-		keys.forEach(this::free);
-		return !keys.isEmpty();
-	}
-
-	private boolean free(String key) {
-		Held found = this.held.remove(key);
-		if (found == null) {
-			return false;
-		}
-		forEachLedger(found.grant(), (ledger) -> ledger.release(key));
-		return true;
-	}
-
-	private void forEachLedger(Grant grant, java.util.function.Consumer<EndpointLedger> action) {
-		for (Share share : grant.shares()) {
-			EndpointLedger ledger = this.ledgers.get(share.endpoint());
-			if (ledger != null) {
-				action.accept(ledger);
-			}
-		}
+	public synchronized List<HomeDecision> releaseHolder(InstanceId holder, long nowMillis) {
+		this.queue.all()
+			.stream()
+			.filter((waiting) -> waiting.holder().equals(holder))
+			.forEach((waiting) -> this.queue.remove(waiting.request().key()));
+		return this.ledger.freeHolder(holder) ? pump(nowMillis) : List.of();
 	}
 
 	/**
@@ -314,28 +233,22 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> tick(long nowMillis) {
-		this.lock.lock();
-		try {
-			if (nowMillis - this.expiredMillis >= EXPIRY_PERIOD_MILLIS) {
-				this.expiredMillis = nowMillis;
-				freeIf((entry) -> entry.grant().expiryMillis() <= nowMillis);
-			}
-			if (this.queue.size() == 0) {
-				return List.of();
-			}
-			List<HomeDecision> decisions = new ArrayList<>();
-			for (GrantQueue.Waiting waiting : this.queue.all()) {
-				if (waiting.request().deadlineMillis() <= nowMillis) {
-					decisions.add(refuse(waiting, ErrorCode.DEADLINE_EXCEEDED));
-				}
-			}
-			decisions.addAll(pump(nowMillis));
-			return decisions;
+	public synchronized List<HomeDecision> tick(long nowMillis) {
+		if (nowMillis - this.expiredMillis >= EXPIRY_PERIOD_MILLIS) {
+			this.expiredMillis = nowMillis;
+			this.ledger.freeExpired(nowMillis);
+		}
+		if (this.queue.size() == 0) {
+			return List.of();
 		}
-		finally {
-			this.lock.unlock();
+		List<HomeDecision> decisions = new ArrayList<>();
+		for (GrantQueue.Waiting waiting : this.queue.all()) {
+			if (waiting.request().deadlineMillis() <= nowMillis) {
+				decisions.add(refuse(waiting, ErrorCode.DEADLINE_EXCEEDED));
+			}
 		}
+		decisions.addAll(pump(nowMillis));
+		return decisions;
 	}
 
 	private HomeDecision refuse(GrantQueue.Waiting waiting, ErrorCode code) {
@@ -346,7 +259,7 @@
 	}
 
 	private List<HomeDecision> pump(long nowMillis) {
-		if (this.queue.size() == 0 || this.ledgerList.isEmpty()) {
+		if (this.queue.size() == 0 || this.ledger.endpoints().isEmpty()) {
 			return List.of();
 		}
 		List<HomeDecision> decisions = new ArrayList<>();
@@ -382,36 +295,10 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return decisions on requests that waited
 	 */
-	public List<HomeDecision> observe(Collection<EndpointReport> reports, Set<EndpointId> outEndpoints,
+	public synchronized List<HomeDecision> observe(Collection<EndpointReport> reports, Set<EndpointId> outEndpoints,
 			long nowMillis) {
-		this.lock.lock();
-		try {
-			Set<EndpointId> present = new HashSet<>();
-			for (EndpointReport report : reports) {
-				present.add(report.endpoint());
-				observe(report, nowMillis);
-				this.ledgers.get(report.endpoint()).setOut(outEndpoints.contains(report.endpoint()));
-			}
-			this.ledgers.keySet().retainAll(present);
-			this.ledgerList = List.copyOf(this.ledgers.values());
-			return pump(nowMillis);
-		}
-		finally {
-			this.lock.unlock();
-		}
-	}
-
-	private void observe(EndpointReport report, long nowMillis) {
-		EndpointLedger ledger = this.ledgers.get(report.endpoint());
-		if (ledger == null) {
-			long startedMillis = nowMillis - report.uptimeMillis();
-			ColdStartRamp ramp = ColdStartRamp.startingAt(this.rampSettings, startedMillis);
-			EndpointLedger added = new EndpointLedger(report, ramp);
-			this.ledgers.put(report.endpoint(), added);
-			this.held.values().forEach((entry) -> holdOn(added, entry.grant(), nowMillis));
-			return;
-		}
-		ledger.observe(report, nowMillis).forEach(this::free);
+		this.ledger.observe(reports, outEndpoints, nowMillis);
+		return pump(nowMillis);
 	}
 
 	/**
@@ -421,15 +308,9 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return true if the last report is too old or a request has failed
 	 */
-	public boolean isPollDue(EndpointId endpoint, long nowMillis) {
-		this.lock.lock();
-		try {
-			EndpointLedger ledger = this.ledgers.get(endpoint);
-			return ledger == null || ledger.startPollIfDue(nowMillis);
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized boolean isPollDue(EndpointId endpoint, long nowMillis) {
+		EndpointLedger ledger = this.ledger.endpoint(endpoint);
+		return ledger == null || ledger.startPollIfDue(nowMillis);
 	}
 
 	/**
@@ -439,16 +320,10 @@
 	 * @param endpoint the endpoint
 	 * @param nowMillis the time in milliseconds since the epoch
 	 */
-	public void doubt(EndpointId endpoint, long nowMillis) {
-		this.lock.lock();
-		try {
-			EndpointLedger ledger = this.ledgers.get(endpoint);
-			if (ledger != null) {
-				ledger.doubt(nowMillis);
-			}
-		}
-		finally {
-			this.lock.unlock();
+	public synchronized void doubt(EndpointId endpoint, long nowMillis) {
+		EndpointLedger ledger = this.ledger.endpoint(endpoint);
+		if (ledger != null) {
+			ledger.doubt(nowMillis);
 		}
 	}
 
@@ -458,35 +333,23 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return refusals for the requests that waited
 	 */
-	public List<HomeDecision> setOut(boolean isOut, long nowMillis) {
-		this.lock.lock();
-		try {
-			if (this.out && !isOut) {
-				this.ledgerList.forEach((ledger) -> ledger.ramp(nowMillis));
-			}
-			this.out = isOut;
-			if (!isOut) {
-				return List.of();
-			}
-			return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.ZONE_OUT)).toList();
+	public synchronized List<HomeDecision> setOut(boolean isOut, long nowMillis) {
+		if (this.out && !isOut) {
+			this.ledger.endpoints().forEach((ledger) -> ledger.ramp(nowMillis));
 		}
-		finally {
-			this.lock.unlock();
+		this.out = isOut;
+		if (!isOut) {
+			return List.of();
 		}
+		return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.ZONE_OUT)).toList();
 	}
 
 	/**
 	 * Refuses all waiting requests because another instance is now the home.
 	 * @return the refusals
 	 */
-	public List<HomeDecision> resign() {
-		this.lock.lock();
-		try {
-			return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.NOT_HOME)).toList();
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized List<HomeDecision> resign() {
+		return this.queue.all().stream().map((waiting) -> refuse(waiting, ErrorCode.NOT_HOME)).toList();
 	}
 
 	/**
@@ -494,21 +357,16 @@
 	 * @param instance the instance that is the home
 	 * @return the number now in force
 	 */
-	public FenceNumber raiseFence(InstanceId instance) {
-		this.lock.lock();
-		try {
-			long highest = this.ledgerList.stream()
-				.mapToLong((ledger) -> ledger.report().highestFence())
-				.max()
-				.orElse(0);
-			if (highest > this.fence.value() || this.fence.equals(FenceNumber.NONE)) {
-				this.fence = new FenceNumber(Math.max(highest, this.fence.value())).next(instance);
-			}
-			return this.fence;
-		}
-		finally {
-			this.lock.unlock();
+	public synchronized FenceNumber raiseFence(InstanceId instance) {
+		long highest = this.ledger.endpoints()
+			.stream()
+			.mapToLong((ledger) -> ledger.report().highestFence())
+			.max()
+			.orElse(0);
+		if (highest > this.fence.value() || this.fence.equals(FenceNumber.NONE)) {
+			this.fence = new FenceNumber(Math.max(highest, this.fence.value())).next(instance);
 		}
+		return this.fence;
 	}
 
 	/**
@@ -516,20 +374,14 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the summary
 	 */
-	public HomeSummary summary(long nowMillis) {
-		this.lock.lock();
-		try {
-			int slots = 0;
-			int running = 0;
-			for (EndpointLedger ledger : this.ledgerList) {
-				slots += ledger.isWarm(nowMillis) ? ledger.report().slots() : this.rampSettings.floor();
-				running += ledger.running();
-			}
-			return new HomeSummary(this.ledgerList.size(), slots, running, this.queue.size(), this.out);
-		}
-		finally {
-			this.lock.unlock();
+	public synchronized HomeSummary summary(long nowMillis) {
+		int slots = 0;
+		int running = 0;
+		for (EndpointLedger ledger : this.ledger.endpoints()) {
+			slots += ledger.isWarm(nowMillis) ? ledger.report().slots() : this.rampSettings.floor();
+			running += ledger.running();
 		}
+		return new HomeSummary(this.ledger.endpoints().size(), slots, running, this.queue.size(), this.out);
 	}
 
 	/**
@@ -538,35 +390,19 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the endpoints and the identities of the grants
 	 */
-	public List<Orphan> orphans(long nowMillis) {
-		this.lock.lock();
-		try {
-			if (nowMillis < this.settledMillis) {
-				return List.of();
-			}
-			List<Orphan> orphans = new ArrayList<>();
-			for (EndpointLedger ledger : this.ledgerList) {
-				ledger.orphans(nowMillis).forEach((key) -> orphans.add(new Orphan(ledger.endpoint(), key)));
-			}
-			return orphans;
-		}
-		finally {
-			this.lock.unlock();
+	public synchronized List<Orphan> orphans(long nowMillis) {
+		if (nowMillis < this.settledMillis) {
+			return List.of();
 		}
+		return this.ledger.orphans(nowMillis);
 	}
 
 	/**
 	 * Returns the endpoints of the shard.
 	 * @return the endpoints in ascending order
 	 */
-	public List<EndpointId> endpoints() {
-		this.lock.lock();
-		try {
-			return List.copyOf(this.ledgers.keySet());
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized List<EndpointId> endpoints() {
+		return this.ledger.endpoints().stream().map(EndpointLedger::endpoint).toList();
 	}
 
 	/**
@@ -574,15 +410,9 @@
 	 * @param endpoint the endpoint
 	 * @return a number from 0
 	 */
-	public int runningOn(EndpointId endpoint) {
-		this.lock.lock();
-		try {
-			EndpointLedger ledger = this.ledgers.get(endpoint);
-			return (ledger != null) ? ledger.running() : 0;
-		}
-		finally {
-			this.lock.unlock();
-		}
+	public synchronized int runningOn(EndpointId endpoint) {
+		EndpointLedger ledger = this.ledger.endpoint(endpoint);
+		return (ledger != null) ? ledger.running() : 0;
 	}
 
 	/**
@@ -594,10 +424,4 @@
 	public record Orphan(EndpointId endpoint, String key) {
 	}
 
-	/**
-	 * A grant and its holder.
-	 */
-	private record Held(InstanceId holder, Grant grant) {
-	}
-
 }
