--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -6,6 +6,9 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegister;
@@ -43,6 +46,8 @@
 
 	private static final long GOSSIP_MILLIS_PER_MEMBER = 75;
 
+	private static final long CONFIRM_TIMEOUT_MILLIS = 300;
+
 	private static final long LOG_GRACE_MILLIS = 1_000;
 
 	private static final long FORGET_MILLIS = 120_000;
@@ -159,6 +164,19 @@
 		others().forEach(this::sendGossip);
 	}
 
+	/**
+	 * Tells everybody at once and waits a little until they have heard.
+	 * @return completes when all have confirmed, have failed or the time is over
+	 */
+	public Mono<Void> spreadConfirmed() {
+		return Flux.fromIterable(others())
+			.flatMap((target) -> Mono
+				.fromFuture(this.peers.request(target.id(), target.address(), message(isNear(target.zone())),
+						CONFIRM_TIMEOUT_MILLIS))
+				.onErrorResume((failure) -> Mono.empty()), Integer.MAX_VALUE)
+			.then();
+	}
+
 	private void sendGossip(InstanceView.Instance target) {
 		this.peers.send(target.id(), target.address(), message(isNear(target.zone())));
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -191,6 +191,7 @@
 		}
 		else if (message instanceof Message.Gossip gossip) {
 			this.gossiper.receive(gossip);
+			reply.accept(new Message.Announced(true));
 		}
 		else if (message instanceof Message.GrantAsk ask) {
 			Span span = this.tracing.start("home", ask.traceParent());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
@@ -216,14 +216,14 @@
 			return Mono.from(ChatService.this.node.endpoints().report(failed.answeringAddress()))
 				.map((report) -> !report.bootId().equals(failed.answeringBoot()))
 				.onErrorReturn(true)
-				.doOnNext((isCrash) -> {
-					if (isCrash) {
-						ChatService.this.node.crashes()
-							.note(this.request.fingerprint(), failed.grant().answering(), failed.answeringBoot(),
-									ChatService.this.node.clock().nowMillis());
-						ChatService.this.node.gossiper().spreadUrgently();
-					}
-				});
+				.flatMap((isCrash) -> isCrash ? spreadCrash(failed).thenReturn(true) : Mono.just(false));
+		}
+
+		private Mono<Void> spreadCrash(HeldGrant failed) {
+			ChatService.this.node.crashes()
+				.note(this.request.fingerprint(), failed.grant().answering(), failed.answeringBoot(),
+						ChatService.this.node.clock().nowMillis());
+			return ChatService.this.node.gossiper().spreadConfirmed();
 		}
 
 		private Flux<EngineEvent> decide(PoplarloomException cause) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -189,7 +189,7 @@
 			.request(home.home(), home.address(), new Message.Announce(home.shard(), grants), ANNOUNCE_TIMEOUT_MILLIS)
 			.whenComplete((reply, failure) -> {
 				this.announcing.remove(home.shard());
-				if (reply instanceof Message.Announced announced && announced.isHome()) {
+				if (reply instanceof Message.Announced announced && announced.isTaken()) {
 					grants.forEach(
 							(grant) -> this.held.computeIfPresent(grant.key(), (key, value) -> value.withHome(home)));
 				}
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -178,11 +178,11 @@
 	}
 
 	/**
-	 * Confirms that announced grants are in the home's ledger.
+	 * Confirms gossip, or that announced grants are in the home's ledger.
 	 *
-	 * @param isHome whether the sender is the home; if not, nothing was taken over
+	 * @param isTaken whether the sender took over what it was told
 	 */
-	record Announced(boolean isHome) implements Message {
+	record Announced(boolean isTaken) implements Message {
 	}
 
 	/**
