--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -70,9 +70,9 @@
 	private final Map<InstanceId, Long> lastLive = new ConcurrentHashMap<>();
 
 	public HomeTable(Settings settings, MembershipTable membership, EndpointDirectory directory, EndpointPort endpoints,
-			ConfigurationKeeper keeper, Clock clock) {
+			InstanceView instances, ConfigurationKeeper keeper, Clock clock) {
 		this.endpoints = endpoints;
-		this.instances = new InstanceView(membership, directory, clock);
+		this.instances = instances;
 		this.settings = settings;
 		this.membership = membership;
 		this.directory = directory;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -126,8 +126,8 @@
 				this.clock.nowMillis(), 0, false);
 		this.membership = MembershipTable.of(self, this.settings.failureTimeoutMillis());
 		this.instances = new InstanceView(this.membership, this.directory, this.clock);
-		this.homes = new HomeTable(this.settings, this.membership, this.directory, this.endpoints, this.keeper,
-				this.clock);
+		this.homes = new HomeTable(this.settings, this.membership, this.directory, this.endpoints, this.instances,
+				this.keeper, this.clock);
 		this.selector = new HomeSelector(this.settings, this.membership, this.keeper, this.clock);
 		this.grants = new GrantClient(this.selector, this, this.clock);
 		this.gossiper = new Gossiper(this.settings, this.membership, this.keeper, this.crashes, this.instances,
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -47,8 +47,6 @@
 
 	private final Map<String, BlockingQueue<Long>> streams = new ConcurrentHashMap<>();
 
-	private final Map<String, Long> loads = new ConcurrentHashMap<>();
-
 	private final EngineAccounts accounts = new EngineAccounts();
 
 	private volatile boolean running = true;
@@ -144,7 +142,7 @@
 
 	private void order(HttpExchange exchange) throws IOException {
 		long fence = fence(exchange.getRequestHeaders());
-		String body = readText(exchange);
+		exchange.getRequestBody().readAllBytes();
 		synchronized (this.model) {
 			if (this.model.settings().checksFence() && fence < this.highestFence) {
 				respond(exchange, 409, "{\"error\":\"stale fence\"}");
@@ -152,7 +150,6 @@
 			}
 			this.highestFence = Math.max(this.highestFence, fence);
 		}
-		this.loads.put(body, fence);
 		respond(exchange, 200, "{}");
 	}
 
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
@@ -18,7 +18,6 @@
 
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.value.ValueType;
 
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
@@ -193,10 +192,6 @@
 		return SHAPES.computeIfAbsent(type, Shape::of);
 	}
 
-	static boolean isMap(MessageUnpacker unpacker) throws IOException {
-		return unpacker.getNextFormat().getValueType() == ValueType.MAP;
-	}
-
 	static PoplarloomException badFrame(String text) {
 		return new PoplarloomException(ErrorCode.BAD_FRAME, Executed.NO, text);
 	}
