Rename the module of ports to poplarloom-port

The users' platform gets a folder platform/ of its own; two things of that name would confuse. Packages org.poplarloom.platform.port and .http became org.poplarloom.port and org.poplarloom.port.http. No behaviour changed.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
@@ -40,7 +40,7 @@
 import org.poplarloom.core.version.Publication;
 import org.poplarloom.core.version.ServiceTerms;
 import org.poplarloom.entry.request.Fingerprint;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
+import org.poplarloom.port.InstanceListPort.Listed;
 import org.poplarloom.wire.message.Message;
 import org.poplarloom.wire.message.MessageCodec;
 import org.poplarloom.wire.message.MessageCodec.Envelope;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatController.java
@@ -36,7 +36,7 @@
 import org.poplarloom.entry.request.ChatService;
 import org.poplarloom.entry.request.EntryMetrics;
 import org.poplarloom.entry.request.Fingerprint;
-import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+import org.poplarloom.port.EndpointPort.EngineEvent;
 
 /**
  * The chat completions interface.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatFormat.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ChatFormat.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 
 import org.poplarloom.entry.request.ChatRequest;
-import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+import org.poplarloom.port.EndpointPort.EngineEvent;
 
 /**
  * Writes answers in the chat completions form.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/OperatorController.java
@@ -39,8 +39,8 @@
 import org.poplarloom.entry.process.Node;
 import org.poplarloom.entry.process.UsagePublisher;
 import org.poplarloom.entry.version.ConfigurationPublisher;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.InstanceListPort.Listed;
+import org.poplarloom.port.LogPort;
 
 /**
  * The operators' interface.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ServiceController.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/http/ServiceController.java
@@ -26,8 +26,8 @@
 import org.poplarloom.entry.request.Limits;
 import org.poplarloom.entry.request.Order;
 import org.poplarloom.entry.request.OrderService;
-import org.poplarloom.platform.port.ServicePort.ServiceAnswer;
-import org.poplarloom.platform.port.ServicePort.ServiceCall;
+import org.poplarloom.port.ServicePort.ServiceAnswer;
+import org.poplarloom.port.ServicePort.ServiceCall;
 
 /**
  * The interface to plain services.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClaimLog.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ClaimLog.java
@@ -18,7 +18,7 @@
 import org.poplarloom.core.process.ClaimFold;
 import org.poplarloom.core.process.ClaimRecord;
 import org.poplarloom.core.version.Documents;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Appends claims to the log and reads back who holds each key.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
@@ -16,9 +16,9 @@
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.process.ShardId;
-import org.poplarloom.platform.port.EndpointPort;
-import org.poplarloom.platform.port.InstanceListPort;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
+import org.poplarloom.port.EndpointPort;
+import org.poplarloom.port.InstanceListPort;
+import org.poplarloom.port.InstanceListPort.Listed;
 
 /**
  * The endpoints and services that the platform lists and their last reports.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -34,7 +34,7 @@
 import org.poplarloom.core.version.ConfigurationState;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ConfigurationKeeper;
-import org.poplarloom.platform.port.EndpointPort;
+import org.poplarloom.port.EndpointPort;
 import org.poplarloom.wire.message.Message;
 
 /**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
@@ -9,7 +9,7 @@
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.MembershipTable;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
+import org.poplarloom.port.InstanceListPort.Listed;
 
 /**
  * The entry instances of the whole system as this instance sees them.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/UsagePublisher.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/UsagePublisher.java
@@ -18,8 +18,8 @@
 import org.poplarloom.core.usage.UsageBook;
 import org.poplarloom.core.usage.UsagePage;
 import org.poplarloom.core.version.Documents;
-import org.poplarloom.platform.port.EndpointPort;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.EndpointPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Publishes the two books of an instance on the log.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
@@ -26,8 +26,8 @@
 import org.poplarloom.core.usage.UsagePage;
 import org.poplarloom.entry.process.Node;
 import org.poplarloom.entry.process.Tracing;
-import org.poplarloom.platform.port.EndpointPort.EngineCall;
-import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+import org.poplarloom.port.EndpointPort.EngineCall;
+import org.poplarloom.port.EndpointPort.EngineEvent;
 
 /**
  * Runs chat requests from admission to the last piece of the answer.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Order.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Order.java
@@ -2,7 +2,7 @@
 
 import org.poplarloom.core.IdempotencyKey;
 import org.poplarloom.core.version.Contract;
-import org.poplarloom.platform.port.ServicePort.ServiceCall;
+import org.poplarloom.port.ServicePort.ServiceCall;
 
 /**
  * A call of a plain service that must take effect at most once.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/OrderService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/OrderService.java
@@ -19,8 +19,8 @@
 import org.poplarloom.core.version.ServiceTerms;
 import org.poplarloom.entry.process.ClaimLog;
 import org.poplarloom.entry.process.Node;
-import org.poplarloom.platform.port.InstanceListPort.Listed;
-import org.poplarloom.platform.port.ServicePort.ServiceAnswer;
+import org.poplarloom.port.InstanceListPort.Listed;
+import org.poplarloom.port.ServicePort.ServiceAnswer;
 
 /**
  * Runs calls of plain services; those that may not be repeated run at most once.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/SegmentedCall.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/SegmentedCall.java
@@ -7,10 +7,10 @@
 import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.request.Share;
-import org.poplarloom.platform.port.EndpointPort;
-import org.poplarloom.platform.port.EndpointPort.EngineCall;
-import org.poplarloom.platform.port.EndpointPort.EngineEvent;
-import org.poplarloom.platform.port.EndpointPort.Segment;
+import org.poplarloom.port.EndpointPort;
+import org.poplarloom.port.EndpointPort.EngineCall;
+import org.poplarloom.port.EndpointPort.EngineEvent;
+import org.poplarloom.port.EndpointPort.Segment;
 
 /**
  * Runs a request on the endpoints of its grant.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationMaintainer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationMaintainer.java
@@ -13,7 +13,7 @@
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.version.ConfigurationStream.StreamRecord;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Keeps the configuration on the log: confirms zone orders that were given during an
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ConfigurationPublisher.java
@@ -14,7 +14,7 @@
 import org.poplarloom.core.version.Publication;
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.version.ConfigurationStream.StreamRecord;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Publishes changes of the configuration on the log.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/LogFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/LogFollower.java
@@ -11,7 +11,7 @@
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.Publication;
 import org.poplarloom.entry.version.ConfigurationStream.StreamRecord;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Reads the configuration stream and applies each record.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/port/LogPort.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/LogPort.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.port;
+package org.poplarloom.port;
 
 import java.util.List;
 
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/port/ServicePort.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/ServicePort.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.port;
+package org.poplarloom.port;
 
 import org.reactivestreams.Publisher;
 
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/EventLines.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/EventLines.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -12,7 +12,7 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
-import org.poplarloom.platform.port.EndpointPort.EngineEvent;
+import org.poplarloom.port.EndpointPort.EngineEvent;
 
 /**
  * Cuts a stream of server-sent events into engine events.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpEndpoint.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpEndpoint.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -17,7 +17,7 @@
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.process.EndpointReport;
-import org.poplarloom.platform.port.EndpointPort;
+import org.poplarloom.port.EndpointPort;
 
 /**
  * Reaches model engines over HTTP.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpInstanceList.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -12,7 +12,7 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.version.Documents;
-import org.poplarloom.platform.port.InstanceListPort;
+import org.poplarloom.port.InstanceListPort;
 
 /**
  * Reads the instance list over HTTP.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpLog.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpLog.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.net.URI;
 import java.net.URLEncoder;
@@ -16,7 +16,7 @@
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.version.Documents;
-import org.poplarloom.platform.port.LogPort;
+import org.poplarloom.port.LogPort;
 
 /**
  * Reaches the log service over HTTP.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/HttpService.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpService.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.nio.charset.StandardCharsets;
 
@@ -14,7 +14,7 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
-import org.poplarloom.platform.port.ServicePort;
+import org.poplarloom.port.ServicePort;
 
 /**
  * Calls plain services over HTTP.
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/PlatformClient.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/PlatformClient.java
@@ -1,4 +1,4 @@
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
 
 import java.net.URI;
 import java.time.Duration;
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/http/package-info.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Adapters that reach the platform over HTTP.
  */
-package org.poplarloom.platform.http;
+package org.poplarloom.port.http;
--- a/poplarloom-platform/src/main/java/org/poplarloom/platform/port/package-info.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/package-info.java
@@ -2,4 +2,4 @@
  * Ports to what the platform gives: log, instance list, weight store, endpoints and plain
  * services.
  */
-package org.poplarloom.platform.port;
+package org.poplarloom.port;
