--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/SlopeExperiment.java
@@ -141,7 +141,7 @@
 				(size) -> size(heartbeat(size))));
 		add(Slope.measure("message: configuration by contracts", "bytes", CONTRACT_SIZES, (size) -> size(
 				new Message.ConfigurationContent(Documents.write(configurationWith(size).toSnapshot())))));
-		fixed("message: grant ask", size(new Message.GrantAsk(SHARD, request(1), "", 1)));
+		fixed("message: grant ask", size(new Message.GrantAsk(SHARD, request(1), "", 1, true)));
 		fixed("message: grant given",
 				size(new Message.GrantGiven(grant(1), List.of("10.10.10.10:8000"), List.of("gijon-engine-123-1"))));
 		fixed("message: first token", size(new Message.FirstToken(SHARD, request(1).key())));
@@ -186,9 +186,10 @@
 			byte[] body = Caller.prompt(size * 256L, 10, "");
 			return micros(() -> Fingerprint.of(body));
 		}));
-		byte[] ask = MessageCodec.write(new Envelope(1, false, new Message.GrantAsk(SHARD, request(1), "", 1)));
+		byte[] ask = MessageCodec.write(new Envelope(1, false, new Message.GrantAsk(SHARD, request(1), "", 1, true)));
 		this.report.add("time: grant ask written", "us", "-", 0.0, micros(
-				() -> MessageCodec.write(new Envelope(1, false, new Message.GrantAsk(SHARD, request(1), "", 1)))), 1.0);
+				() -> MessageCodec.write(new Envelope(1, false, new Message.GrantAsk(SHARD, request(1), "", 1, true)))),
+				1.0);
 		this.report.add("time: grant ask read", "us", "-", 0.0, micros(() -> MessageCodec.read(ask)), 1.0);
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -39,18 +39,64 @@
 
 	@Override
 	public List<Share> place(GrantRequest request, List<EndpointLedger> endpoints, ShortLoad load, long nowMillis) {
-		List<EndpointLedger> candidates = Placements.admitting(request, endpoints, nowMillis);
-		candidates.removeIf((ledger) -> ledger.freeKvTokens() < request.kvTokens());
+		List<Share> prompt = placePromptly(request, endpoints, load, nowMillis);
+		if (!prompt.isEmpty()) {
+			return prompt;
+		}
+		List<EndpointLedger> candidates = candidates(request, endpoints, nowMillis);
+		if (candidates.isEmpty()) {
+			return List.of();
+		}
+		if (!isLongOnEngines(request, candidates)) {
+			return alone(request, soonest(candidates, nowMillis));
+		}
+		double whole = candidates.get(0).prefillMillis(request.promptTokens());
+		double fastest = whole / Math.min(mostParts(whole), endpoints.size());
+		return (budgetMillis(request, nowMillis) > fastest) ? List.of()
+				: together(request, fastest(candidates, whole, nowMillis));
+	}
+
+	@Override
+	public List<Share> placePromptly(GrantRequest request, List<EndpointLedger> endpoints, ShortLoad load,
+			long nowMillis) {
+		List<EndpointLedger> candidates = candidates(request, endpoints, nowMillis);
 		if (candidates.isEmpty()) {
 			return List.of();
 		}
 		if (request.promptTokens() == 0) {
 			return alone(request, leastRunning(candidates));
 		}
-		if (!request.lengthClass().isLong() || candidates.get(0).report().engine() == null) {
-			return placeShort(request, candidates, nowMillis);
+		return isLongOnEngines(request, candidates) ? placeLong(request, candidates, nowMillis)
+				: placeShort(request, candidates, nowMillis);
+	}
+
+	@Override
+	public double firstTokenMillis(GrantRequest request, List<EndpointLedger> endpoints, long nowMillis) {
+		List<EndpointLedger> candidates = candidates(request, endpoints, nowMillis);
+		if (candidates.isEmpty()) {
+			return Math.max(0, request.pace().latestMillis() - nowMillis);
+		}
+		double whole = candidates.get(0).prefillMillis(request.promptTokens());
+		if (!isLongOnEngines(request, candidates)) {
+			return soonest(candidates, nowMillis).backlogMillis(nowMillis) + whole;
 		}
-		return placeLong(request, candidates, endpoints, nowMillis);
+		List<EndpointLedger> chosen = fastest(candidates, whole, nowMillis);
+		return end(chosen.get(chosen.size() - 1), whole / chosen.size(), nowMillis);
+	}
+
+	private static List<EndpointLedger> candidates(GrantRequest request, List<EndpointLedger> endpoints,
+			long nowMillis) {
+		List<EndpointLedger> candidates = Placements.admitting(request, endpoints, nowMillis);
+		candidates.removeIf((ledger) -> ledger.freeKvTokens() < request.kvTokens());
+		return candidates;
+	}
+
+	private static boolean isLongOnEngines(GrantRequest request, List<EndpointLedger> candidates) {
+		return request.lengthClass().isLong() && candidates.get(0).report().engine() != null;
+	}
+
+	private static double budgetMillis(GrantRequest request, long nowMillis) {
+		return (request.pace().targetMillis() - nowMillis) * TARGET_SHARE;
 	}
 
 	private static EndpointLedger leastRunning(List<EndpointLedger> candidates) {
@@ -61,39 +107,45 @@
 		return List.of(new Share(ledger.endpoint(), request.kvTokens()));
 	}
 
-	private List<Share> placeShort(GrantRequest request, List<EndpointLedger> candidates, long nowMillis) {
+	private static List<Share> placeShort(GrantRequest request, List<EndpointLedger> candidates, long nowMillis) {
 		EndpointLedger packed = null;
-		EndpointLedger soonest = null;
 		for (EndpointLedger ledger : candidates) {
 			boolean isRoomy = ledger.running() < PACKED_SHARE * ledger.report().slots();
 			boolean isPrompt = ledger.backlogMillis(nowMillis) <= SHORT_BACKLOG_MILLIS && !ledger.hasLongPrefill();
 			if (isRoomy && isPrompt && (packed == null || ledger.running() > packed.running())) {
 				packed = ledger;
 			}
-			if (soonest == null || shortDelay(ledger, nowMillis) < shortDelay(soonest, nowMillis)) {
-				soonest = ledger;
-			}
 		}
-		return alone(request, (packed != null) ? packed : soonest);
+		if (packed != null) {
+			return alone(request, packed);
+		}
+		EndpointLedger soonest = soonest(candidates, nowMillis);
+		double delay = soonest.backlogMillis(nowMillis) + soonest.prefillMillis(request.promptTokens());
+		boolean isInTime = delay <= budgetMillis(request, nowMillis) && !soonest.hasLongPrefill();
+		return isInTime ? alone(request, soonest) : List.of();
 	}
 
-	private static double shortDelay(EndpointLedger ledger, long nowMillis) {
-		return ledger.backlogMillis(nowMillis) + ledger.running();
+	private static EndpointLedger soonest(List<EndpointLedger> candidates, long nowMillis) {
+		return candidates.stream()
+			.min(Comparator
+				.comparingDouble((EndpointLedger ledger) -> ledger.backlogMillis(nowMillis) + ledger.running()))
+			.orElseThrow();
 	}
 
-	private List<Share> placeLong(GrantRequest request, List<EndpointLedger> candidates, List<EndpointLedger> endpoints,
-			long nowMillis) {
+	private static List<Share> placeLong(GrantRequest request, List<EndpointLedger> candidates, long nowMillis) {
 		double whole = candidates.get(0).prefillMillis(request.promptTokens());
-		double budget = (request.pace().targetMillis() - nowMillis) * TARGET_SHARE;
-		int mostParts = (int) Math.max(1, Math.min(MOST_PARTS, whole / SMALLEST_PART_MILLIS));
-		for (int parts = 1; parts <= Math.min(mostParts, candidates.size()); parts++) {
+		double budget = budgetMillis(request, nowMillis);
+		for (int parts = 1; parts <= Math.min(mostParts(whole), candidates.size()); parts++) {
 			List<EndpointLedger> chosen = undisturbed(candidates, whole / parts, budget, nowMillis);
 			if (chosen.size() >= parts) {
 				return together(request, chosen.subList(0, parts));
 			}
 		}
-		double fastest = whole / Math.min(mostParts, endpoints.size());
-		return (budget > fastest) ? List.of() : soonest(request, candidates, whole, mostParts, nowMillis);
+		return List.of();
+	}
+
+	private static int mostParts(double whole) {
+		return (int) Math.max(1, Math.min(MOST_PARTS, whole / SMALLEST_PART_MILLIS));
 	}
 
 	// Finds the endpoints that read a part in time without delaying other answers.
@@ -112,22 +164,21 @@
 	}
 
 	// Chooses the endpoints with which the prompt is read soonest, whoever waits.
-	private static List<Share> soonest(GrantRequest request, List<EndpointLedger> candidates, double whole,
-			int mostParts, long nowMillis) {
+	private static List<EndpointLedger> fastest(List<EndpointLedger> candidates, double whole, long nowMillis) {
 		List<EndpointLedger> ordered = new ArrayList<>(candidates);
-		ordered.sort(Comparator
-			.comparingDouble((EndpointLedger ledger) -> ledger.backlogMillis(nowMillis) + ledger.disturbanceMillis()));
+		ordered.sort(Comparator.comparingDouble((ledger) -> end(ledger, 0, nowMillis)));
 		int best = 1;
-		double bestEnd = Double.MAX_VALUE;
-		for (int parts = 1; parts <= Math.min(mostParts, ordered.size()); parts++) {
-			EndpointLedger last = ordered.get(parts - 1);
-			double end = last.backlogMillis(nowMillis) + last.disturbanceMillis() + whole / parts;
-			if (end < bestEnd) {
+		for (int parts = 2; parts <= Math.min(mostParts(whole), ordered.size()); parts++) {
+			double present = end(ordered.get(best - 1), whole / best, nowMillis);
+			if (end(ordered.get(parts - 1), whole / parts, nowMillis) < present) {
 				best = parts;
-				bestEnd = end;
 			}
 		}
-		return together(request, ordered.subList(0, best));
+		return ordered.subList(0, best);
+	}
+
+	private static double end(EndpointLedger ledger, double partMillis, long nowMillis) {
+		return ledger.backlogMillis(nowMillis) + ledger.disturbanceMillis() + partMillis;
 	}
 
 	// The endpoint with the least reading ahead answers, so it comes last.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
@@ -37,6 +37,31 @@
 	 */
 	boolean isClassed();
 
+	/**
+	 * Chooses the endpoints for a request only if its first token comes in time and no
+	 * other answer suffers.
+	 * @param request the request
+	 * @param endpoints all endpoints of the home
+	 * @param load the recent load of short prompts
+	 * @param nowMillis the time in milliseconds
+	 * @return the shares, empty if another home may do better
+	 */
+	default List<Share> placePromptly(GrantRequest request, List<EndpointLedger> endpoints, ShortLoad load,
+			long nowMillis) {
+		return place(request, endpoints, load, nowMillis);
+	}
+
+	/**
+	 * Estimates when the first token of a request would come if it was placed now.
+	 * @param request the request
+	 * @param endpoints all endpoints of the home
+	 * @param nowMillis the time in milliseconds
+	 * @return milliseconds from now
+	 */
+	default double firstTokenMillis(GrantRequest request, List<EndpointLedger> endpoints, long nowMillis) {
+		return 0;
+	}
+
 	/**
 	 * Says whether the endpoints of a grant read their parts of the prompt at the same
 	 * time.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -83,7 +83,21 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the decision
 	 */
-	public synchronized GrantDecision request(InstanceId holder, GrantRequest request, long nowMillis) {
+	public GrantDecision request(InstanceId holder, GrantRequest request, long nowMillis) {
+		return request(holder, request, true, nowMillis);
+	}
+
+	/**
+	 * Decides about a request that may rather go to another home than wait.
+	 * @param holder the instance that asks
+	 * @param request the request; repeating it replaces the earlier one
+	 * @param mayWait whether the request is queued if it cannot start in time; if not, it
+	 * is refused with the estimated wait
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the decision
+	 */
+	public synchronized GrantDecision request(InstanceId holder, GrantRequest request, boolean mayWait,
+			long nowMillis) {
 		Grant known = this.ledger.grant(request.key());
 		if (known != null) {
 			return new GrantDecision.Granted(known);
@@ -95,10 +109,15 @@
 		if (refusal != null) {
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
 		}
-		Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, nowMillis) : null;
+		Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, mayWait, nowMillis) : null;
 		if (grant != null) {
 			return new GrantDecision.Granted(grant);
 		}
+		if (!mayWait) {
+			double delay = this.policy.firstTokenMillis(request, this.ledger.endpoints(), nowMillis);
+			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
+					(long) delay + 1);
+		}
 		this.queue.add(holder, request);
 		return new GrantDecision.Queued(request.requestId(), request.attempt());
 	}
@@ -130,11 +149,12 @@
 		return nowMillis + needed <= request.pace().latestMillis();
 	}
 
-	private Grant tryGrant(InstanceId holder, GrantRequest request, long nowMillis) {
+	private Grant tryGrant(InstanceId holder, GrantRequest request, boolean mayWait, long nowMillis) {
 		if (nowMillis < this.settledMillis && !mayGrantUnsettled(request)) {
 			return null;
 		}
-		List<Share> shares = this.policy.place(request, this.ledger.endpoints(), this.shortLoad, nowMillis);
+		List<Share> shares = mayWait ? this.policy.place(request, this.ledger.endpoints(), this.shortLoad, nowMillis)
+				: this.policy.placePromptly(request, this.ledger.endpoints(), this.shortLoad, nowMillis);
 		if (shares.isEmpty()) {
 			return null;
 		}
@@ -275,7 +295,7 @@
 	private void pumpLine(List<GrantQueue.Waiting> line, long nowMillis, List<HomeDecision> decisions) {
 		int failures = 0;
 		for (GrantQueue.Waiting waiting : line) {
-			Grant grant = tryGrant(waiting.holder(), waiting.request(), nowMillis);
+			Grant grant = tryGrant(waiting.holder(), waiting.request(), true, nowMillis);
 			if (grant != null) {
 				this.queue.remove(grant.key());
 				decisions.add(new HomeDecision(waiting.holder(), new GrantDecision.Granted(grant)));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
@@ -1,7 +1,9 @@
 package org.poplarloom.entry.process;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -64,6 +66,18 @@
 		return isOtherBetter ? other : nearest;
 	}
 
+	/**
+	 * Chooses the home that expects to start a request soonest.
+	 * @param refused shards that have refused the request
+	 * @param delays what homes expect, in milliseconds
+	 * @return the home, or empty if none is left
+	 */
+	public Optional<ShardStatus> least(Set<ShardId> refused, Map<ShardId, Long> delays) {
+		return candidates().stream()
+			.filter((status) -> !refused.contains(status.shard()))
+			.min(Comparator.comparingLong((ShardStatus status) -> delays.getOrDefault(status.shard(), Long.MAX_VALUE)));
+	}
+
 	private boolean isLocal(ShardStatus status) {
 		return status.shard().zone().equals(this.settings.zone());
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -196,16 +196,17 @@
 	 * @param holder the instance that asks
 	 * @param shard the shard
 	 * @param request the request
+	 * @param isTrial whether the request is refused rather than queued
 	 * @param reply takes the decision
 	 */
-	public void ask(InstanceId holder, ShardId shard, GrantRequest request, Consumer<Message> reply) {
+	public void ask(InstanceId holder, ShardId shard, GrantRequest request, boolean isTrial, Consumer<Message> reply) {
 		Home home = this.homes.get(shard);
 		if (home == null || !home.isObserved()) {
 			reply.accept(new Message.GrantDenied(ErrorCode.NOT_HOME, 0));
 			return;
 		}
 		this.waiting.put(request.key(), reply);
-		GrantDecision decision = home.shardHome().request(holder, request, this.clock.nowMillis());
+		GrantDecision decision = home.shardHome().request(holder, request, !isTrial, this.clock.nowMillis());
 		if (!(decision instanceof GrantDecision.Queued)) {
 			dispatch(List.of(new HomeDecision(holder, decision)));
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -200,7 +200,7 @@
 		else if (message instanceof Message.GrantAsk ask) {
 			Span span = this.tracing.start("home", ask.traceParent());
 			GrantRequest request = ask.request().shifted(this.clock.nowMillis() - ask.sentMillis());
-			this.homes.ask(peer, ask.shard(), request, (decision) -> {
+			this.homes.ask(peer, ask.shard(), request, ask.isTrial(), (decision) -> {
 				span.end();
 				reply.accept(decision);
 			});
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -71,10 +71,14 @@
 	}
 
 	private Mono<HeldGrant> search(GrantRequest request, Search search) {
-		Optional<ShardStatus> chosen = this.selector.choose(search.refused);
+		Optional<ShardStatus> chosen = search.isPatient() ? this.selector.least(search.refused, search.delays)
+				: this.selector.choose(search.refused);
 		if (chosen.isPresent()) {
 			return ask(request, chosen.get(), search);
 		}
+		if (search.startPatientRound()) {
+			return search(request, search);
+		}
 		long now = this.clock.nowMillis();
 		boolean isOver = now >= request.deadlineMillis() || now - search.startedMillis >= LONGEST_SEARCH_MILLIS;
 		if (isOver || search.isFinal()) {
@@ -88,8 +92,8 @@
 
 	private Mono<HeldGrant> ask(GrantRequest request, ShardStatus home, Search search) {
 		long waitMillis = Math.max(SHORTEST_WAIT_MILLIS, request.deadlineMillis() - this.clock.nowMillis());
-		CompletableFuture<Message> reply = this.peers.request(home.home(), home.address(),
-				new Message.GrantAsk(home.shard(), request, search.traceParent, this.clock.nowMillis()), waitMillis);
+		CompletableFuture<Message> reply = this.peers.request(home.home(), home.address(), new Message.GrantAsk(
+				home.shard(), request, search.traceParent, this.clock.nowMillis(), !search.isPatient()), waitMillis);
 		PendingAsk ask = new PendingAsk(home, reply);
 		this.pending.put(request.key(), ask);
 		return Mono.fromFuture(reply)
@@ -231,8 +235,12 @@
 
 		private long retryAfterMillis;
 
+		private final Map<ShardId, Long> delays = new HashMap<>();
+
 		private boolean sawMovingHome;
 
+		private boolean patient;
+
 		Search(long startedMillis, String traceParent) {
 			this.startedMillis = startedMillis;
 			this.traceParent = traceParent;
@@ -240,6 +248,10 @@
 
 		void refuse(ShardId shard, ErrorCode code, Message message) {
 			this.refused.add(shard);
+			if (code == ErrorCode.HOME_BUSY && message instanceof Message.GrantDenied denied) {
+				this.delays.put(shard, denied.retryAfterMillis());
+				return;
+			}
 			this.sawMovingHome |= code == ErrorCode.NOT_HOME || code == ErrorCode.ZONE_OUT;
 			if (this.refusal == null || code != ErrorCode.NOT_HOME) {
 				this.refusal = code;
@@ -249,6 +261,20 @@
 			}
 		}
 
+		boolean isPatient() {
+			return this.patient;
+		}
+
+		// Homes that were only busy are asked once more, to queue the request.
+		boolean startPatientRound() {
+			if (this.patient || this.delays.isEmpty()) {
+				return false;
+			}
+			this.patient = true;
+			this.refused.removeAll(this.delays.keySet());
+			return true;
+		}
+
 		boolean isFinal() {
 			return !this.refused.isEmpty() && !this.sawMovingHome;
 		}
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/EventBufferTests.java
@@ -0,0 +1,42 @@
+package org.poplarloom.entry.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+import org.poplarloom.port.relay.RelayRequest;
+
+/**
+ * Tests for {@link EventBuffer}.
+ */
+public class EventBufferTests {
+
+	private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: x\n\nid: 4\nda";
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Test
+	public void givesWholeEventsWhereverTheBytesAreCut() {
+		for (int size = 1; size < STREAM.length(); size++) {
+			EventBuffer buffer = new EventBuffer();
+			List<Long> ids = new ArrayList<>();
+			StringBuilder text = new StringBuilder();
+			for (int start = 0; start < STREAM.length(); start += size) {
+				String part = STREAM.substring(start, Math.min(STREAM.length(), start + size));
+				for (EventBuffer.Event event : buffer.add(Unpooled.wrappedBuffer(bytes(part)))) {
+					ids.add(event.id());
+					text.append(new String(event.bytes(), StandardCharsets.UTF_8));
+				}
+			}
+			Assert.assertEquals(ids, List.of(1L, 2L, RelayRequest.NO_EVENT, RelayRequest.NO_EVENT));
+			Assert.assertEquals(text + new String(buffer.rest(), StandardCharsets.UTF_8), STREAM);
+		}
+	}
+
+}
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -117,8 +117,10 @@
 	 * @param request the request
 	 * @param traceParent the parent span in header form, empty for none
 	 * @param sentMillis the time by the sender's clock, by which all times are given
+	 * @param isTrial whether the request is refused rather than queued
 	 */
-	record GrantAsk(ShardId shard, GrantRequest request, String traceParent, long sentMillis) implements Message {
+	record GrantAsk(ShardId shard, GrantRequest request, String traceParent, long sentMillis,
+			boolean isTrial) implements Message {
 	}
 
 	/**
