Doubt only endpoints that cannot be reached; notify peers of new configurations

Cause: (1) an endpoint whose connection broke was out until its next heartbeat, up to 2.6 s, though only some answers were lost. (2) The estimated backlog added its errors up while an endpoint read without a pause. Change: only a failed connect doubts an endpoint; the backlog is the sum of the parts not read yet; long reads last 1.3 s and whoever learns a record tells two peers, which ask for it if the store has not delivered it after 250 ms. Homes log their queues once a second.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.request.AnswerPace;
@@ -42,7 +40,8 @@
 
 	private final Map<String, Hold> holds = new HashMap<>();
 
-	private final Set<String> reading = new HashSet<>();
+	/** The time in milliseconds that each prompt that is not read yet takes. */
+	private final Map<String, Double> reading = new HashMap<>();
 
 	private final Map<String, Long> orphans = new HashMap<>();
 
@@ -66,7 +65,7 @@
 
 	private int slowFirstTokens;
 
-	private double busyUntilMillis;
+	private double progressMillis;
 
 	EndpointLedger(EndpointReport report, ColdStartRamp ramp) {
 		this.report = report;
@@ -156,7 +155,11 @@
 	 * @return milliseconds from now, 0 if it reads nothing
 	 */
 	public double backlogMillis(long nowMillis) {
-		return Math.max(0, this.busyUntilMillis - nowMillis);
+		if (this.reading.isEmpty()) {
+			return 0;
+		}
+		double parts = this.reading.values().stream().mapToDouble(Double::doubleValue).sum();
+		return Math.max(0, parts - Math.max(0, nowMillis - this.progressMillis));
 	}
 
 	/**
@@ -230,8 +233,10 @@
 		if (isPrefilling && !this.holds.containsKey(grant.key())) {
 			double part = prefillMillis(grant.request().promptTokens())
 					/ (grant.isParallel() ? grant.shares().size() : 1);
-			this.busyUntilMillis = Math.max(nowMillis, this.busyUntilMillis) + part;
-			this.reading.add(grant.key());
+			if (this.reading.isEmpty()) {
+				this.progressMillis = nowMillis;
+			}
+			this.reading.put(grant.key(), part);
 		}
 		Hold previous = this.holds.put(grant.key(), hold);
 		if (previous != null) {
@@ -271,9 +276,8 @@
 	}
 
 	private void endReading(String key, long nowMillis) {
-		this.reading.remove(key);
-		if (this.reading.isEmpty()) {
-			this.busyUntilMillis = nowMillis;
+		if (this.reading.remove(key) != null) {
+			this.progressMillis = nowMillis;
 		}
 	}
 
@@ -303,9 +307,6 @@
 			return false;
 		}
 		this.reading.remove(key);
-		if (this.reading.isEmpty()) {
-			this.busyUntilMillis = 0;
-		}
 		forget(hold);
 		return true;
 	}
@@ -390,6 +391,17 @@
 		this.doubtedMillis = nowMillis;
 	}
 
+	/**
+	 * Describes the endpoint for the log.
+	 * @param nowMillis the time in milliseconds
+	 * @return its use in short form
+	 */
+	String describe(long nowMillis) {
+		return endpoint() + ":" + running() + "/" + this.ramp.limit(this.report.slots(), nowMillis) + ",free="
+				+ freeKvTokens() + ",backlog=" + (long) backlogMillis(nowMillis) + (isDoubted() ? ",doubted" : "")
+				+ (hasLongPrefill() ? ",long" : "") + ((this.out || this.report.isLeaving()) ? ",leaving" : "");
+	}
+
 	private boolean isDoubted() {
 		return this.report.takenMillis() <= this.doubtedMillis;
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -420,6 +420,19 @@
 		return this.ledger.orphans(nowMillis);
 	}
 
+	/**
+	 * Describes the home for the log.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the queue and the use of every endpoint, empty if nobody waits
+	 */
+	public synchronized String describeQueue(long nowMillis) {
+		if (this.queue.size() == 0) {
+			return "";
+		}
+		List<String> endpoints = this.ledger.endpoints().stream().map((ledger) -> ledger.describe(nowMillis)).toList();
+		return "queued=" + this.queue.size() + " longTokens=" + this.queue.longTokens() + " endpoints=" + endpoints;
+	}
+
 	/**
 	 * Returns the endpoints of the shard.
 	 * @return the endpoints in ascending order
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -113,6 +113,19 @@
 		this.homes.values().forEach((home) -> dispatch(home.shardHome().tick(now)));
 	}
 
+	/**
+	 * Writes to the log why requests wait.
+	 */
+	public void logQueues() {
+		long now = this.clock.nowMillis();
+		this.homes.forEach((shard, home) -> {
+			String queue = home.shardHome().describeQueue(now);
+			if (!queue.isEmpty()) {
+				logger.info("event=queue shard={} {}", shard, queue);
+			}
+		});
+	}
+
 	private void update(ShardId shard, long now) {
 		Optional<Member> chosen = this.membership.home(shard, now);
 		boolean isHome = chosen.isPresent() && chosen.get().id().equals(this.settings.instance());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -53,6 +53,8 @@
 
 	private static final long POLL_MILLIS = 500;
 
+	private static final long QUEUE_LOG_MILLIS = 1_000;
+
 	private static final long LIST_MILLIS = 1_000;
 
 	private static final long CRASH_RETENTION_MILLIS = 600_000;
@@ -143,6 +145,7 @@
 		every(FOLLOW_MILLIS, this.homes::followMembership);
 		every(FOLLOW_MILLIS, this.grants::followHomes);
 		every(POLL_MILLIS, () -> this.homes.poll().subscribe());
+		every(QUEUE_LOG_MILLIS, this.homes::logQueues);
 		every(LIST_MILLIS, () -> this.directory.refresh().subscribe());
 	}
 
@@ -225,6 +228,9 @@
 		else if (message instanceof Message.TableFetch fetch && this.tables.containsKey(fetch.table())) {
 			reply.accept(this.tables.get(fetch.table()).recordsSince(fetch.offset()));
 		}
+		else if (message instanceof Message.TableNotice notice && this.tables.containsKey(notice.table())) {
+			this.tables.get(notice.table()).noticed(notice.end());
+		}
 		else if (message instanceof Message.ConfigurationFetch fetch) {
 			reply.accept(new Message.ConfigurationContent(
 					Documents.write(this.keeper.configuration().changesSince(fetch.offset()))));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -52,7 +53,7 @@
 	private static final Logger logger = LoggerFactory.getLogger(RelayDaemon.class);
 
 	/** Configurations and evacuations must be in force within 2 s of their writing. */
-	private static final TableFollower.Timing OPERATOR_TIMING = new TableFollower.Timing(2_500, 20);
+	private static final TableFollower.Timing OPERATOR_TIMING = new TableFollower.Timing(1_300, 20);
 
 	/** Workers must get no requests 2 s after they have said that they leave. */
 	private static final TableFollower.Timing WORKER_TIMING = new TableFollower.Timing(0, 900);
@@ -75,6 +76,9 @@
 
 	private static final long DRAIN_POLL_MILLIS = 100;
 
+	/** News reach n instances in about log(n) rounds. */
+	private static final int NOTIFIED_PEERS = 2;
+
 	private final PlatformSettings platform;
 
 	private final Settings settings;
@@ -126,9 +130,9 @@
 	private void start() {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
-		follow(Tables.OPERATORS, OPERATOR_TIMING, this::learnOperatorRecord);
-		this.workerTable = follow(Tables.WORKERS, WORKER_TIMING, this::learnWorkerRecord);
-		follow(Tables.STATUS, STATUS_TIMING, this.workers::hearInstance);
+		follow(Tables.OPERATORS, OPERATOR_TIMING, this::notifyPeers, this::learnOperatorRecord);
+		this.workerTable = follow(Tables.WORKERS, WORKER_TIMING, RelayDaemon::notifyNobody, this::learnWorkerRecord);
+		follow(Tables.STATUS, STATUS_TIMING, RelayDaemon::notifyNobody, this.workers::hearInstance);
 		announce();
 		this.front.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.front.listen(this.platform.callerAddress());
@@ -136,14 +140,25 @@
 				this.settings.zone(), this.platform.callerAddress(), peerAddress());
 	}
 
-	private TableFollower follow(String table, TableFollower.Timing timing, Consumer<KeyedTablePort.Entry> listener) {
-		TableFollower follower = new TableFollower(table, this.store, timing, this.loop, this::askAnyPeer, listener,
-				this.node.clock());
+	private TableFollower follow(String table, TableFollower.Timing timing, Consumer<Message> notices,
+			Consumer<KeyedTablePort.Entry> listener) {
+		TableFollower follower = new TableFollower(table, this.store, timing, this.loop, this::askAnyPeer, notices,
+				listener, this.node.clock());
 		this.node.share(follower);
 		follower.start();
 		return follower;
 	}
 
+	private static void notifyNobody(Message notice) {
+		// Every instance reads the table often enough by itself.
+	}
+
+	private void notifyPeers(Message notice) {
+		List<String> addresses = new ArrayList<>(this.workers.peerAddresses(peerAddress()));
+		Collections.shuffle(addresses);
+		addresses.stream().limit(NOTIFIED_PEERS).forEach((address) -> this.node.network().send(address, notice));
+	}
+
 	private CompletableFuture<Message> askAnyPeer(Message question) {
 		List<String> addresses = new ArrayList<>(this.workers.peerAddresses(peerAddress()));
 		for (String seed : this.platform.seeds()) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -37,6 +37,9 @@
 	/** The store bears some hundred calls a second from all instances together. */
 	private static final long FAILURE_PAUSE_MILLIS = 400;
 
+	/** Time for the platform itself to deliver what peers have already read. */
+	private static final long NOTICE_PATIENCE_MILLIS = 250;
+
 	private static final long NOT_READ = -1;
 
 	private final String table;
@@ -49,6 +52,8 @@
 
 	private final Function<Message, CompletableFuture<Message>> peers;
 
+	private final Consumer<Message> notices;
+
 	private final Consumer<Entry> listener;
 
 	private final Clock clock;
@@ -68,16 +73,19 @@
 	 * @param timing how often the table is read
 	 * @param scheduler runs the calls and the listener
 	 * @param peers sends a question to any peer
+	 * @param notices sends a notice to a few peers
 	 * @param listener takes each record that is new
 	 * @param clock the time
 	 */
 	public TableFollower(String table, KeyedTablePort port, Timing timing, ScheduledExecutorService scheduler,
-			Function<Message, CompletableFuture<Message>> peers, Consumer<Entry> listener, Clock clock) {
+			Function<Message, CompletableFuture<Message>> peers, Consumer<Message> notices, Consumer<Entry> listener,
+			Clock clock) {
 		this.table = table;
 		this.port = port;
 		this.timing = timing;
 		this.scheduler = scheduler;
 		this.peers = peers;
+		this.notices = notices;
 		this.listener = listener;
 		this.clock = clock;
 	}
@@ -160,12 +168,30 @@
 	}
 
 	private void take(List<Entry> entries, long end) {
+		boolean isFirst = this.next == NOT_READ;
+		boolean hasNews = false;
 		for (Entry entry : entries) {
 			if (isNew(entry)) {
+				hasNews = true;
 				this.listener.accept(entry);
 			}
 		}
 		this.next = Math.max(this.next, end);
+		if (hasNews && !isFirst) {
+			this.notices.accept(new Message.TableNotice(this.table, this.next));
+		}
+	}
+
+	/**
+	 * Takes a peer's word that there are new records.
+	 * @param end the offset after the last record that the peer has read
+	 */
+	public void noticed(long end) {
+		this.scheduler.schedule(() -> {
+			if (this.next < end) {
+				askPeer();
+			}
+		}, NOTICE_PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private synchronized boolean isNew(Entry entry) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -132,7 +132,7 @@
 			}
 			case FAILED -> fail(AttemptFailure.answered(this.head, this.body.toByteArray()), null);
 			case NOT_EXECUTED, MISDIRECTED ->
-				fail(AttemptFailure.notRun("not executed, status " + this.head.status().code()), endpoint());
+				fail(AttemptFailure.notRun("not executed, status " + this.head.status().code()), null);
 			default -> fail(AttemptFailure.unknown("answer does not prove its origin", false), null);
 		}
 	}
@@ -142,7 +142,7 @@
 		if (!this.done) {
 			AttemptFailure reason = failure.isSent() ? AttemptFailure.unknown(failure.getMessage(), true)
 					: AttemptFailure.notRun(failure.getMessage());
-			fail(reason, endpoint());
+			fail(reason, failure.isSent() ? null : endpoint());
 		}
 	}
 
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -227,6 +227,15 @@
 	record TableContent(String table, long end, List<TableRecord> records) implements Message {
 	}
 
+	/**
+	 * Says that a platform table has new records.
+	 *
+	 * @param table the name of the table
+	 * @param end the offset after the last record that the sender has read
+	 */
+	record TableNotice(String table, long end) implements Message {
+	}
+
 	/**
 	 * The newest record of a key.
 	 *
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -30,7 +30,7 @@
 			Message.ConfigurationContent.class, Message.GrantAsk.class, Message.GrantGiven.class,
 			Message.GrantDenied.class, Message.FirstToken.class, Message.Release.class, Message.Announce.class,
 			Message.VersionAsk.class, Message.VersionGiven.class, Message.Heartbeat.class, Message.SegmentDone.class,
-			Message.Announced.class, Message.TableFetch.class, Message.TableContent.class);
+			Message.Announced.class, Message.TableFetch.class, Message.TableContent.class, Message.TableNotice.class);
 
 	private MessageCodec() {
 	}
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -59,7 +59,7 @@
 				new Message.GrantDenied(ErrorCode.ZONE_OUT, 5), new Message.FirstToken(SHARD, "k"),
 				new Message.Release(SHARD, "k", null), new Message.Release(SHARD, "k", EndpointId.of("e")),
 				new Message.Announce(SHARD, List.of(GRANT), 1_234), new Message.SegmentDone(SHARD, "k", 2),
-				new Message.Announced(true), new Message.TableFetch("t", 4),
+				new Message.Announced(true), new Message.TableFetch("t", 4), new Message.TableNotice("t", 5),
 				new Message.TableContent("t", 9, List.of(new Message.TableRecord("k", "v", 8))),
 				new Message.VersionAsk("p"), new Message.VersionGiven(1, 2, true, 3), new Message.Heartbeat(1, 2, 3, 4,
 						List.of(new Message.ShardLoad(5, new HomeSummary(1, 2, 3, 4, true)))) };
