--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -131,17 +131,30 @@
 				}
 			}
 			case FAILED -> fail(AttemptFailure.answered(this.head, this.body.toByteArray()), null);
-			case NOT_EXECUTED, MISDIRECTED ->
-				fail(AttemptFailure.notRun("not executed, status " + this.head.status().code()), null);
+			case NOT_EXECUTED, MISDIRECTED -> failNotRun();
 			default -> fail(AttemptFailure.unknown("answer does not prove its origin", false), null);
 		}
 	}
 
+	// A helper that is gone makes the answering endpoint refuse.
+	private void failNotRun() {
+		String named = this.run.service().protocol().faultyEndpoint(this.head);
+		EndpointId faulty = null;
+		for (int i = 0; i < this.held.addresses().size() - 1; i++) {
+			EndpointId helper = this.held.grant().shares().get(i).endpoint();
+			if (helper.value().equals(named) || this.held.addresses().get(i).equals(named)) {
+				faulty = helper;
+			}
+		}
+		fail(AttemptFailure.notRun("not executed, status " + this.head.status().code() + " by '" + named + "'", faulty),
+				faulty);
+	}
+
 	@Override
 	public void fail(HttpExchanger.ExchangeException failure) {
 		if (!this.done) {
 			AttemptFailure reason = failure.isSent() ? AttemptFailure.unknown(failure.getMessage(), true)
-					: AttemptFailure.notRun(failure.getMessage());
+					: AttemptFailure.notRun(failure.getMessage(), null);
 			fail(reason, failure.isSent() ? null : endpoint());
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -40,6 +40,8 @@
 
 	private static final long RETRY_AFTER_MILLIS = 500;
 
+	private static final long NO_TIME = -1;
+
 	private static final TeamId NO_TEAM = TeamId.of("public");
 
 	private final RelayService service;
@@ -78,6 +80,10 @@
 
 	private boolean begun;
 
+	private long firstMillis = NO_TIME;
+
+	private int parts;
+
 	private long lastEventId;
 
 	RelayRun(RelayService service, RelayRequest request, CallerReply reply) {
@@ -137,6 +143,7 @@
 			return;
 		}
 		this.attempts++;
+		this.parts = held.grant().shares().size();
 		this.attempt = new RelayAttempt(this, held);
 		this.attempt.send();
 	}
@@ -174,10 +181,11 @@
 	void attemptFailed(RelayAttempt ended, AttemptFailure failure) {
 		this.attempt = null;
 		this.mayHaveRun |= failure.mayHaveRun();
-		this.excluded.add(ended.endpoint());
-		logger.info("request={} event=attempt_failed attempt={} endpoint={} lifetime={} mayHaveRun={} cause=\"{}\"",
-				this.request.id(), this.attempts, ended.endpoint(), ended.lifetime(), failure.mayHaveRun(),
-				failure.cause());
+		this.excluded.add((failure.faulty() != null) ? failure.faulty() : ended.endpoint());
+		logger.info(
+				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} faulty={} mayHaveRun={} cause=\"{}\"",
+				this.request.id(), this.attempts, ended.endpoint(), ended.lifetime(), failure.faulty(),
+				failure.mayHaveRun(), failure.cause());
 		if (failure.isConnectionLost()) {
 			checkCrash(ended);
 		}
@@ -284,6 +292,7 @@
 	private void begin(HttpResponse head) {
 		if (!this.begun) {
 			this.begun = true;
+			this.firstMillis = this.service.nowMillis() - this.startedMillis;
 			this.reply.begin(head);
 		}
 	}
@@ -309,10 +318,10 @@
 		}
 		logger.info(
 				"request={} event=ended outcome={} detail=\"{}\" route={} service={} team={} prompt={} attempts={}"
-						+ " grants={} configuration={} age_ms={}",
+						+ " grants={} parts={} configuration={} first_ms={} age_ms={}",
 				this.request.id(), outcome, detail, (this.route != null) ? this.route.name() : "", this.serviceName,
-				teamId(), this.request.promptTokens(), this.attempts, this.grants, this.version,
-				this.service.nowMillis() - this.startedMillis);
+				teamId(), this.request.promptTokens(), this.attempts, this.grants, this.parts, this.version,
+				this.firstMillis, this.service.nowMillis() - this.startedMillis);
 	}
 
 	/**
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
@@ -26,6 +26,13 @@
 	 */
 	Reply read(RelayRequest request, HttpResponse head);
 
+	/**
+	 * Finds which endpoint is at fault when a request was not run.
+	 * @param head the status line and the headers
+	 * @return its name or address, empty if none is named
+	 */
+	String faultyEndpoint(HttpResponse head);
+
 	/**
 	 * What the head of an answer means.
 	 */
