Read very long prompts on idle engines of all zones, with memory set aside

Change: a long prompt that no home can start in time asks the homes in turn for parts on idle engines. If the target cannot be met, fewer idle engines read it while the caller still waits; else it is refused at once.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.PartsWanted;
 import org.poplarloom.core.request.Share;
 
 /**
@@ -26,7 +27,7 @@
 	private static final double SMALLEST_PART_MILLIS = 60;
 
 	/** Part of the time to the first token that is planned with; the rest is reserve. */
-	private static final double TARGET_SHARE = 0.75;
+	private static final double TARGET_SHARE = 0.85;
 
 	/** Part of the longest pause that is planned with; the rest is reserve. */
 	private static final double PAUSE_SHARE = 0.85;
@@ -70,6 +71,18 @@
 				: placeShort(request, candidates, nowMillis);
 	}
 
+	@Override
+	public List<Share> placeParts(GrantRequest request, List<EndpointLedger> endpoints, long nowMillis) {
+		PartsWanted parts = request.parts();
+		List<EndpointLedger> candidates = Placements.admitting(request, endpoints, nowMillis);
+		candidates.removeIf((ledger) -> ledger.freeKvTokens() < parts.partKvTokens());
+		return undisturbed(candidates, parts.partMillis(), request.pace().targetMillis() - nowMillis, nowMillis)
+			.stream()
+			.limit(parts.most())
+			.map((ledger) -> new Share(ledger.endpoint(), parts.partKvTokens()))
+			.toList();
+	}
+
 	@Override
 	public double firstTokenMillis(GrantRequest request, List<EndpointLedger> endpoints, long nowMillis) {
 		List<EndpointLedger> candidates = candidates(request, endpoints, nowMillis);
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -228,11 +228,12 @@
 
 	void hold(Grant grant, long kvTokens, boolean isPrefilling, long nowMillis) {
 		boolean isPrefillingLong = isPrefilling && grant.request().lengthClass().isLong();
-		boolean isHelper = grant.isParallel() && !grant.answering().equals(endpoint());
+		boolean isPart = grant.request().parts() != null;
+		boolean isHelper = grant.isParallel() && kvTokens == 0 && (isPart || !grant.answering().equals(endpoint()));
 		Hold hold = new Hold(grant.request(), kvTokens, nowMillis, isPrefillingLong, isHelper);
 		if (isPrefilling && !this.holds.containsKey(grant.key())) {
-			double part = prefillMillis(grant.request().promptTokens())
-					/ (grant.isParallel() ? grant.shares().size() : 1);
+			double part = isPart ? grant.request().parts().partMillis()
+					: prefillMillis(grant.request().promptTokens()) / (grant.isParallel() ? grant.shares().size() : 1);
 			if (this.reading.isEmpty()) {
 				this.progressMillis = nowMillis;
 			}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
@@ -51,6 +51,18 @@
 		return place(request, endpoints, load, nowMillis);
 	}
 
+	/**
+	 * Chooses endpoints that read parts of a prompt in time without delaying other
+	 * answers.
+	 * @param request the request with the parts that it wants
+	 * @param endpoints all endpoints of the home
+	 * @param nowMillis the time in milliseconds
+	 * @return one share per part, empty if there is none
+	 */
+	default List<Share> placeParts(GrantRequest request, List<EndpointLedger> endpoints, long nowMillis) {
+		return List.of();
+	}
+
 	/**
 	 * Estimates when the first token of a request would come if it was placed now.
 	 * @param request the request
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -106,6 +106,9 @@
 		if (!request.lengthClass().isLong()) {
 			this.shortLoad.add(request.promptTokens(), nowMillis);
 		}
+		if (request.parts() != null) {
+			return requestParts(holder, request, nowMillis);
+		}
 		ErrorCode refusal = refusal(request, nowMillis);
 		if (refusal != null) {
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
@@ -123,6 +126,16 @@
 		return new GrantDecision.Queued(request.requestId(), request.attempt());
 	}
 
+	private GrantDecision requestParts(InstanceId holder, GrantRequest request, long nowMillis) {
+		List<Share> shares = (this.out || nowMillis < this.settledMillis) ? List.of()
+				: this.policy.placeParts(request, this.ledger.endpoints(), nowMillis);
+		if (shares.isEmpty()) {
+			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
+					RETRY_AFTER_MILLIS);
+		}
+		return new GrantDecision.Granted(hold(holder, request, shares, nowMillis));
+	}
+
 	private ErrorCode refusal(GrantRequest request, long nowMillis) {
 		if (this.out) {
 			return ErrorCode.ZONE_OUT;
@@ -157,9 +170,10 @@
 		}
 		List<Share> shares = mayWait ? this.policy.place(request, this.ledger.endpoints(), this.shortLoad, nowMillis)
 				: this.policy.placePromptly(request, this.ledger.endpoints(), this.shortLoad, nowMillis);
-		if (shares.isEmpty()) {
-			return null;
-		}
+		return shares.isEmpty() ? null : hold(holder, request, shares, nowMillis);
+	}
+
+	private Grant hold(InstanceId holder, GrantRequest request, List<Share> shares, long nowMillis) {
 		long expiry = request.deadlineMillis() + GRANT_SLACK_MILLIS;
 		int priority = this.policy.priority(request, isUrgent(request, nowMillis));
 		Grant grant = new Grant(request, shares, this.fence, expiry, priority, this.policy.isParallel());
--- a/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
@@ -21,10 +21,12 @@
  * @param isIsolated whether the request must run apart from others
  * @param excluded endpoints that have already failed the request
  * @param pace when the caller expects the first token and how it goes on
+ * @param parts asks for helpers that read parts of the prompt instead of one endpoint
+ * that answers; null otherwise
  */
 public record GrantRequest(String requestId, int attempt, TeamId team, String model, long promptTokens,
 		long answerTokens, long prefixHash, long deadlineMillis, boolean isIsolated, Set<EndpointId> excluded,
-		AnswerPace pace) {
+		AnswerPace pace, PartsWanted parts) {
 
 	public GrantRequest {
 		excluded = Set.copyOf(excluded);
@@ -34,7 +36,7 @@
 	public GrantRequest(String requestId, int attempt, TeamId team, String model, long promptTokens, long answerTokens,
 			long prefixHash, long deadlineMillis, boolean isIsolated, Set<EndpointId> excluded) {
 		this(requestId, attempt, team, model, promptTokens, answerTokens, prefixHash, deadlineMillis, isIsolated,
-				excluded, null);
+				excluded, null, null);
 	}
 
 	/**
@@ -53,6 +55,19 @@
 		return this.promptTokens + this.answerTokens;
 	}
 
+	/**
+	 * Returns the question to one of several homes that are asked for parts.
+	 * @param home names the home
+	 * @param most the most parts that are still wanted
+	 * @return the request
+	 */
+	public GrantRequest withPartsFrom(String home, int most) {
+		PartsWanted wanted = new PartsWanted(most, this.parts.partMillis(), this.parts.partKvTokens());
+		return new GrantRequest(this.requestId + "." + home, this.attempt, this.team, this.model, this.promptTokens,
+				this.answerTokens, this.prefixHash, this.deadlineMillis, this.isIsolated, this.excluded, this.pace,
+				wanted);
+	}
+
 	/**
 	 * Returns the request as a clock that shows another time sees it.
 	 * @param deltaMillis what to add to all times, in milliseconds
@@ -61,7 +76,7 @@
 	public GrantRequest shifted(long deltaMillis) {
 		return new GrantRequest(this.requestId, this.attempt, this.team, this.model, this.promptTokens,
 				this.answerTokens, this.prefixHash, this.deadlineMillis + deltaMillis, this.isIsolated, this.excluded,
-				this.pace.shifted(deltaMillis));
+				this.pace.shifted(deltaMillis), this.parts);
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
@@ -91,6 +91,16 @@
 		return Optional.of((second.summary().utilization() < first.summary().utilization()) ? second : first);
 	}
 
+	/**
+	 * Returns the homes of all shards that take new work.
+	 * @return the homes, those of the local zone first
+	 */
+	public List<ShardStatus> nearestFirst() {
+		List<ShardStatus> homes = candidates();
+		homes.sort(Comparator.comparing((ShardStatus status) -> !isLocal(status)));
+		return homes;
+	}
+
 	private List<ShardStatus> candidates() {
 		long now = this.clock.nowMillis();
 		ConfigurationState state = this.keeper.state();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -5,12 +5,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.poplarloom.core.EndpointId;
-import org.poplarloom.entry.request.HeldGrant;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.Dispatch;
+import org.poplarloom.port.relay.EndpointProtocol;
 import org.poplarloom.port.relay.EndpointProtocol.Reply;
 
 /**
@@ -31,12 +32,16 @@
 
 	private final RelayRun run;
 
-	private final HeldGrant held;
+	private final AttemptPlace place;
+
+	private final TicketLease lease;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private final EventBuffer events = new EventBuffer();
 
+	private final String ticket;
+
 	private HttpExchanger.Exchange exchange;
 
 	private HttpResponse head;
@@ -47,28 +52,55 @@
 
 	private boolean done;
 
-	RelayAttempt(RelayRun run, HeldGrant held) {
+	RelayAttempt(RelayRun run, AttemptPlace place, String ticket) {
 		this.run = run;
-		this.held = held;
+		this.place = place;
+		List<AttemptPlace.Part> keepers = place.helpers().stream().filter((part) -> part.kvTokens() > 0).toList();
+		this.lease = keepers.isEmpty() ? null : new TicketLease(ticket, keepers, run.service());
+		this.ticket = ticket;
 	}
 
 	EndpointId endpoint() {
-		return this.held.grant().answering();
+		return this.place.answering().endpoint();
 	}
 
 	String lifetime() {
-		return this.held.answeringBoot();
+		return this.place.answering().lifetime();
+	}
+
+	/**
+	 * Sends the request once all helpers have set memory aside.
+	 */
+	void start() {
+		if (this.lease == null) {
+			send();
+			return;
+		}
+		this.lease.reserve((isReserved) -> {
+			if (this.done) {
+				return;
+			}
+			if (isReserved) {
+				send();
+			}
+			else {
+				fail(AttemptFailure.notRun("a helper has no memory for its part", null), null);
+			}
+		});
 	}
 
-	void send() {
-		List<String> helpers = this.held.addresses().subList(0, this.held.addresses().size() - 1);
-		int rank = LOWEST_RANK - this.held.grant().priority() / PRIORITY_PER_RANK;
+	private void send() {
+		EndpointProtocol protocol = this.run.service().protocol();
+		List<String> helpers = this.place.helpers()
+			.stream()
+			.map((part) -> protocol.helper(part.address(), (part.kvTokens() > 0) ? this.ticket : ""))
+			.toList();
+		int rank = LOWEST_RANK - this.place.priority() / PRIORITY_PER_RANK;
 		Dispatch dispatch = new Dispatch(endpoint().value(), this.run.teamName(), this.run.remainingMillis(), rank,
 				helpers, this.run.lastEventId());
 		this.exchange = this.run.service()
 			.exchanger()
-			.send(this.held.answeringAddress(), this.run.service().protocol().write(this.run.request(), dispatch),
-					this);
+			.send(this.place.answering().address(), protocol.write(this.run.request(), dispatch), this);
 	}
 
 	@Override
@@ -105,13 +137,14 @@
 	}
 
 	private boolean isStream() {
-		return this.meaning == Reply.ANSWER && this.run.route().isStream() && this.head.status().code() == 200;
+		return this.meaning == Reply.ANSWER && this.run.route().isStream()
+				&& this.head.status().equals(HttpResponseStatus.OK);
 	}
 
 	private void firstByte() {
 		if (!this.started && this.meaning == Reply.ANSWER) {
 			this.started = true;
-			this.run.service().node().grants().firstToken(this.held);
+			this.place.firstToken();
 		}
 	}
 
@@ -139,13 +172,7 @@
 	// A helper that is gone makes the answering endpoint refuse.
 	private void failNotRun() {
 		String named = this.run.service().protocol().faultyEndpoint(this.head);
-		EndpointId faulty = null;
-		for (int i = 0; i < this.held.addresses().size() - 1; i++) {
-			EndpointId helper = this.held.grant().shares().get(i).endpoint();
-			if (helper.value().equals(named) || this.held.addresses().get(i).equals(named)) {
-				faulty = helper;
-			}
-		}
+		EndpointId faulty = this.place.helper(named);
 		fail(AttemptFailure.notRun("not executed, status " + this.head.status().code() + " by '" + named + "'", faulty),
 				faulty);
 	}
@@ -166,12 +193,17 @@
 
 	private void release(EndpointId failed) {
 		this.done = true;
-		this.run.service().node().grants().release(this.held, failed);
+		if (this.lease != null) {
+			this.lease.release();
+		}
+		this.place.release(failed);
 	}
 
 	void cancel() {
 		if (!this.done) {
-			this.exchange.cancel();
+			if (this.exchange != null) {
+				this.exchange.cancel();
+			}
 			release(null);
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -2,15 +2,18 @@
 
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
@@ -19,6 +22,8 @@
 import org.poplarloom.core.TeamId;
 import org.poplarloom.core.request.AnswerPace;
 import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.PartsWanted;
+import org.poplarloom.core.version.PrefillPlan;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
 import org.poplarloom.entry.request.HeldGrant;
@@ -80,6 +85,10 @@
 
 	private boolean begun;
 
+	private PrefillPlan plan;
+
+	private boolean lateTried;
+
 	private long firstMillis = NO_TIME;
 
 	private int parts;
@@ -104,27 +113,101 @@
 		this.deadlineMillis = this.startedMillis + patience;
 		this.timer = this.service.loop().schedule(this::timeOut, patience, TimeUnit.MILLISECONDS);
 		this.service.earnRetry(this.serviceName);
+		this.plan = table.service(this.serviceName)
+			.flatMap((target) -> PrefillPlan.of(target, this.request.promptTokens(), this.request.answerTokens()))
+			.orElse(null);
 		askForGrant();
 	}
 
 	private void askForGrant() {
-		GrantRequest wanted = grantRequest();
-		this.grants++;
-		this.asking = this.service.node()
+		if (this.plan == null) {
+			acquire(this.service.node().grants().acquire(grantRequest(null), ""), this::denied);
+		}
+		else if (this.plan.isTooLargeForOne()) {
+			collectParts(this.plan.inTime(remainingTargetMillis()));
+		}
+		else {
+			acquire(this.service.node().grants().acquirePromptly(grantRequest(null)), this::notPrompt);
+		}
+	}
+
+	private void acquire(Mono<HeldGrant> grant, Consumer<Throwable> failed) {
+		this.asking = grant.subscribe((held) -> this.service.loop().execute(() -> granted(held)),
+				(failure) -> this.service.loop().execute(() -> failed.accept(failure)));
+	}
+
+	private void notPrompt(Throwable failure) {
+		boolean isBusy = failure instanceof PoplarloomException known && known.code() == ErrorCode.HOME_BUSY;
+		if (this.ended || !isBusy) {
+			denied(failure);
+			return;
+		}
+		collectParts(this.plan.inTime(remainingTargetMillis()));
+	}
+
+	private long remainingTargetMillis() {
+		return pace().targetMillis() - this.service.nowMillis();
+	}
+
+	// Asked of all homes, as no single one has enough idle endpoints.
+	private void collectParts(PartsWanted wanted) {
+		if (wanted == null) {
+			partsMissing();
+			return;
+		}
+		this.service.node()
 			.grants()
-			.acquire(wanted, "")
-			.subscribe((held) -> this.service.loop().execute(() -> granted(held)),
+			.acquireParts(grantRequest(wanted))
+			.subscribe((held) -> this.service.loop().execute(() -> partsCollected(wanted, held)),
 					(failure) -> this.service.loop().execute(() -> denied(failure)));
 	}
 
-	private GrantRequest grantRequest() {
+	private void partsCollected(PartsWanted wanted, List<HeldGrant> held) {
+		int parts = held.stream().mapToInt((grant) -> grant.grant().shares().size()).sum();
+		logger.info("request={} event=parts wanted={} part_ms={} part_tokens={} got={} homes={}", this.request.id(),
+				wanted.most(), (long) wanted.partMillis(), wanted.partKvTokens(), parts, held.size());
+		if (!this.ended && parts >= wanted.most()) {
+			startAttempt(AttemptPlace.of(this.service.node().grants(), held), parts);
+			return;
+		}
+		held.forEach((grant) -> this.service.node().grants().release(grant, null));
+		if (!this.ended) {
+			partsMissing();
+		}
+	}
+
+	// What fits one endpoint may wait for it; the rest runs late on fewer idle endpoints.
+	private void partsMissing() {
+		if (!this.plan.isTooLargeForOne()) {
+			acquire(this.service.node().grants().acquire(grantRequest(null), ""), this::denied);
+			return;
+		}
+		PartsWanted late = this.lateTried ? null : this.plan.late(pace().latestMillis() - this.service.nowMillis());
+		this.lateTried = true;
+		if (late != null) {
+			collectParts(late);
+		}
+		else {
+			denied(new PoplarloomException(ErrorCode.NO_ENDPOINT, "too few endpoints are idle for so long a prompt"));
+		}
+	}
+
+	private AnswerPace pace() {
 		boolean isFirst = this.attempts == 0;
 		long started = isFirst ? this.startedMillis : this.service.nowMillis();
-		AnswerPace pace = new AnswerPace(started + this.route.targetMillis(),
+		return new AnswerPace(started + this.route.targetMillis(),
 				Math.min(this.deadlineMillis, started + this.route.patienceMillis()), this.route.pauseMillis());
+	}
+
+	private GrantRequest grantRequest(PartsWanted parts) {
+		this.grants++;
+		AnswerPace pace = pace();
+		if (this.lateTried) {
+			pace = new AnswerPace(pace.latestMillis(), pace.latestMillis(), pace.pauseMillis());
+		}
 		return new GrantRequest(this.request.id() + "." + this.grants, 1, teamId(), this.serviceName,
 				this.request.promptTokens(), this.request.answerTokens(), 0, this.deadlineMillis, false, this.excluded,
-				pace);
+				pace, parts);
 	}
 
 	private TeamId teamId() {
@@ -142,10 +225,14 @@
 			askForGrant();
 			return;
 		}
+		startAttempt(AttemptPlace.of(this.service.node().grants(), held), held.grant().shares().size());
+	}
+
+	private void startAttempt(AttemptPlace place, int partCount) {
 		this.attempts++;
-		this.parts = held.grant().shares().size();
-		this.attempt = new RelayAttempt(this, held);
-		this.attempt.send();
+		this.parts = partCount;
+		this.attempt = new RelayAttempt(this, place, this.request.id() + "." + this.attempts);
+		this.attempt.start();
 	}
 
 	private void denied(Throwable failure) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -34,6 +34,9 @@
  */
 public final class GrantClient {
 
+	/** Parts are worth a short wait only; a home answers within some milliseconds. */
+	private static final long PARTS_TIMEOUT_MILLIS = 150;
+
 	private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
 	private static final long LONGEST_SEARCH_MILLIS = 15_000;
@@ -67,7 +70,57 @@
 	 * @return the grant, or an error that says why no home gives one
 	 */
 	public Mono<HeldGrant> acquire(GrantRequest request, String traceParent) {
-		return Mono.defer(() -> search(request, new Search(this.clock.nowMillis(), traceParent)));
+		return Mono.defer(() -> search(request, new Search(this.clock.nowMillis(), traceParent, true)));
+	}
+
+	/**
+	 * Gets a grant from a home that starts the request in time.
+	 * @param request the request
+	 * @return the grant, or an error with code {@code home_busy} if another way may be
+	 * better than to wait
+	 */
+	public Mono<HeldGrant> acquirePromptly(GrantRequest request) {
+		return Mono.defer(() -> search(request, new Search(this.clock.nowMillis(), "", false)));
+	}
+
+	/**
+	 * Gets endpoints for parts of a prompt, from one home after another.
+	 * @param request the request with the parts that it wants
+	 * @return the grants that homes gave, which together hold at most the wanted parts
+	 */
+	public Mono<List<HeldGrant>> acquireParts(GrantRequest request) {
+		return Mono.defer(() -> collect(request, this.selector.nearestFirst(), new ArrayList<>()));
+	}
+
+	private Mono<List<HeldGrant>> collect(GrantRequest request, List<ShardStatus> homes, List<HeldGrant> found) {
+		int held = found.stream().mapToInt((grant) -> grant.grant().shares().size()).sum();
+		if (homes.isEmpty() || held >= request.parts().most()) {
+			return Mono.just(found);
+		}
+		GrantRequest next = request.withPartsFrom(homes.get(0).shard().toString(), request.parts().most() - held);
+		return askOnce(next, homes.get(0)).doOnNext(found::add)
+			.then(Mono.defer(() -> collect(request, homes.subList(1, homes.size()), found)));
+	}
+
+	private Mono<HeldGrant> askOnce(GrantRequest request, ShardStatus home) {
+		CompletableFuture<Message> reply = this.peers.request(home.home(), home.address(),
+				new Message.GrantAsk(home.shard(), request, "", this.clock.nowMillis(), true), PARTS_TIMEOUT_MILLIS);
+		return Mono.fromFuture(reply).flatMap((message) -> {
+			if (message instanceof Message.GrantGiven given) {
+				return Mono.just(hold(request, home, given));
+			}
+			return Mono.<HeldGrant>empty();
+		}).onErrorResume((failure) -> {
+			withdraw(home, request.key());
+			return Mono.empty();
+		});
+	}
+
+	private HeldGrant hold(GrantRequest request, ShardStatus home, Message.GrantGiven given) {
+		long shift = request.deadlineMillis() - given.grant().request().deadlineMillis();
+		HeldGrant grant = new HeldGrant(home, given.grant().shifted(shift), given.addresses(), given.bootIds());
+		this.held.put(request.key(), grant);
+		return grant;
 	}
 
 	private Mono<HeldGrant> search(GrantRequest request, Search search) {
@@ -76,6 +129,9 @@
 		if (chosen.isPresent()) {
 			return ask(request, chosen.get(), search);
 		}
+		if (search.isBusyEverywhere()) {
+			return Mono.error(new PoplarloomException(ErrorCode.HOME_BUSY, "no home starts the request in time"));
+		}
 		if (search.startPatientRound()) {
 			return search(request, search);
 		}
@@ -105,10 +161,7 @@
 
 	private Mono<HeldGrant> decide(GrantRequest request, ShardStatus home, Search search, Message message) {
 		if (message instanceof Message.GrantGiven given) {
-			long shift = request.deadlineMillis() - given.grant().request().deadlineMillis();
-			HeldGrant grant = new HeldGrant(home, given.grant().shifted(shift), given.addresses(), given.bootIds());
-			this.held.put(request.key(), grant);
-			return Mono.just(grant);
+			return Mono.just(hold(request, home, given));
 		}
 		ErrorCode code = (message instanceof Message.GrantDenied denied) ? denied.code() : ErrorCode.INTERNAL;
 		if (code == ErrorCode.DEADLINE_EXCEEDED) {
@@ -241,7 +294,10 @@
 
 		private boolean patient;
 
-		Search(long startedMillis, String traceParent) {
+		private final boolean mayWait;
+
+		Search(long startedMillis, String traceParent, boolean mayWait) {
+			this.mayWait = mayWait;
 			this.startedMillis = startedMillis;
 			this.traceParent = traceParent;
 		}
@@ -265,6 +321,10 @@
 			return this.patient;
 		}
 
+		boolean isBusyEverywhere() {
+			return !this.mayWait && !this.delays.isEmpty();
+		}
+
 		// Homes that were only busy are asked once more, to queue the request.
 		boolean startPatientRound() {
 			if (this.patient || this.delays.isEmpty()) {
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
@@ -26,6 +26,32 @@
 	 */
 	Reply read(RelayRequest request, HttpResponse head);
 
+	/**
+	 * Writes an order that sets memory aside or prolongs its lease.
+	 * @param address the endpoint's host and port
+	 * @param ticket the name of the reservation
+	 * @param tokens the memory in tokens
+	 * @param leaseMillis how long the memory stays set aside, in milliseconds
+	 * @return the order, ready to be written
+	 */
+	FullHttpRequest writeReservation(String address, String ticket, long tokens, long leaseMillis);
+
+	/**
+	 * Writes an order that ends a reservation.
+	 * @param address the endpoint's host and port
+	 * @param ticket the name of the reservation
+	 * @return the order, ready to be written
+	 */
+	FullHttpRequest writeRelease(String address, String ticket);
+
+	/**
+	 * Writes the place of a helper for {@link Dispatch#helpers()}.
+	 * @param address the helper's host and port
+	 * @param ticket the name of the reservation, empty if there is none
+	 * @return the text
+	 */
+	String helper(String address, String ticket);
+
 	/**
 	 * Finds which endpoint is at fault when a request was not run.
 	 * @param head the status line and the headers
