Bound what a silent home or a doubted endpoint costs; notice crashes by entries

Zone c heard nothing from outside, zone a was being emptied, and requests hung at the home of zone c until their callers left. Besides, entries of workers are written only when more than a counter changes (seen: not heard for 39 s while serving), so a doubted endpoint stayed doubted and each broken connection counted as a crash. Change: a trial that gets no answer within 150 ms is withdrawn and the home is avoided for 1.5 s; a home says every 500 ms that a request is still queued. A doubt ends after 2 s. A crash is noted if the entry is gone or names another start 6 s later.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
@@ -48,6 +48,8 @@
 	DEADLINE_UNREACHABLE(503),
 	/** The queue of every reachable home is full. */
 	QUEUE_FULL(503),
+	/** The request is still queued at a home, which has to be asked again. */
+	STILL_QUEUED(503),
 	/** A home would not start the request in time; another one may. */
 	HOME_BUSY(503),
 	/** No home with a suitable endpoint can be reached. */
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -35,6 +35,9 @@
 
 	private static final long SLOW_FIRST_TOKEN_MARGIN_MILLIS = 1_000;
 
+	/** After this time an endpoint is tried again, as it may be back unnoticed. */
+	private static final long LONGEST_DOUBT_MILLIS = 2_000;
+
 	/** A delayed answer weighs as much as this much longer wait of a long prompt. */
 	private static final double DISTURBED_ANSWER_MILLIS = 200;
 
@@ -198,7 +201,7 @@
 	 * @return true if the endpoint takes it
 	 */
 	public boolean admits(GrantRequest request, long nowMillis) {
-		if (!mayServe(request) || isDoubted() || this.isolated) {
+		if (!mayServe(request) || isDoubted(nowMillis) || this.isolated) {
 			return false;
 		}
 		if (request.isIsolated()) {
@@ -381,7 +384,7 @@
 	boolean startPollIfDue(long nowMillis) {
 		boolean isBusy = running() > 0 && this.orphans.isEmpty() && isWarm(nowMillis);
 		long period = isBusy ? BUSY_POLL_MILLIS : IDLE_POLL_MILLIS;
-		boolean isDue = isDoubted() || nowMillis - this.pollStartedMillis >= period;
+		boolean isDue = isDoubted(nowMillis) || nowMillis - this.pollStartedMillis >= period;
 		if (isDue) {
 			this.pollStartedMillis = nowMillis;
 		}
@@ -399,12 +402,14 @@
 	 */
 	String describe(long nowMillis) {
 		return endpoint() + ":" + running() + "/" + this.ramp.limit(this.report.slots(), nowMillis) + ",free="
-				+ freeKvTokens() + ",backlog=" + (long) backlogMillis(nowMillis) + (isDoubted() ? ",doubted" : "")
-				+ (hasLongPrefill() ? ",long" : "") + ((this.out || this.report.isLeaving()) ? ",leaving" : "");
+				+ freeKvTokens() + ",backlog=" + (long) backlogMillis(nowMillis)
+				+ (isDoubted(nowMillis) ? ",doubted" : "") + (hasLongPrefill() ? ",long" : "")
+				+ ((this.out || this.report.isLeaving()) ? ",leaving" : "");
 	}
 
-	private boolean isDoubted() {
-		return this.report.takenMillis() <= this.doubtedMillis;
+	// An endpoint that reports only changes would stay doubted for ever.
+	private boolean isDoubted(long nowMillis) {
+		return this.report.takenMillis() <= this.doubtedMillis && nowMillis - this.doubtedMillis < LONGEST_DOUBT_MILLIS;
 	}
 
 	void ramp(long nowMillis) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeTable.java
@@ -48,6 +48,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(HomeTable.class);
 
+	/** How often a home tells an instance that its request is still queued. */
+	public static final long QUEUE_NOTICE_MILLIS = 500;
+
 	private static final long HOLDER_GRACE_MILLIS = 10_000;
 
 	private final Settings settings;
@@ -68,7 +71,7 @@
 
 	private final Map<ShardId, Home> homes = new ConcurrentHashMap<>();
 
-	private final Map<String, Consumer<Message>> waiting = new ConcurrentHashMap<>();
+	private final Map<String, Waiter> waiting = new ConcurrentHashMap<>();
 
 	private final Map<InstanceId, Long> lastLive = new ConcurrentHashMap<>();
 
@@ -111,6 +114,11 @@
 	public void tick() {
 		long now = this.clock.nowMillis();
 		this.homes.values().forEach((home) -> dispatch(home.shardHome().tick(now)));
+		this.waiting.forEach((key, waiter) -> {
+			if (now - waiter.sinceMillis() >= QUEUE_NOTICE_MILLIS) {
+				reply(key, new Message.GrantDenied(ErrorCode.STILL_QUEUED, 0));
+			}
+		});
 	}
 
 	/**
@@ -218,7 +226,7 @@
 			reply.accept(new Message.GrantDenied(ErrorCode.NOT_HOME, 0));
 			return;
 		}
-		this.waiting.put(request.key(), reply);
+		this.waiting.put(request.key(), new Waiter(reply, this.clock.nowMillis()));
 		GrantDecision decision = home.shardHome().request(holder, request, !isTrial, this.clock.nowMillis());
 		if (!(decision instanceof GrantDecision.Queued)) {
 			dispatch(List.of(new HomeDecision(holder, decision)));
@@ -313,9 +321,9 @@
 	}
 
 	private void reply(String key, Message message) {
-		Consumer<Message> reply = this.waiting.remove(key);
-		if (reply != null) {
-			reply.accept(message);
+		Waiter waiter = this.waiting.remove(key);
+		if (waiter != null) {
+			waiter.reply().accept(message);
 		}
 	}
 
@@ -339,6 +347,12 @@
 		return copy;
 	}
 
+	/**
+	 * The instance that waits for a decision.
+	 */
+	private record Waiter(Consumer<Message> reply, long sinceMillis) {
+	}
+
 	/**
 	 * A home and whether its endpoints have reported yet.
 	 */
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/WorkerDirectory.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/WorkerDirectory.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -28,8 +27,8 @@
 /**
  * What endpoints and entry instances have written about themselves on the platform.
  * <p>
- * An endpoint's heartbeat stands for its report, so that nobody has to ask it. This class
- * is thread-safe.
+ * An endpoint's entry stands for its report, so that nobody has to ask it; it is written
+ * again only when more than a counter has changed. This class is thread-safe.
  */
 public final class WorkerDirectory implements InstanceListPort, ReportPort {
 
@@ -113,12 +112,14 @@
 	}
 
 	/**
-	 * Returns when an endpoint was last heard.
+	 * Says whether an endpoint is still the process that it was.
 	 * @param endpoint the endpoint
-	 * @return milliseconds, or empty if it is unknown
+	 * @param lifetime the start that was known before
+	 * @return false if it is gone or has started again
 	 */
-	public Optional<Long> heardMillis(EndpointId endpoint) {
-		return Optional.ofNullable(this.workers.get(endpoint.value())).map((heard) -> heard.atMillis);
+	public boolean isAlive(EndpointId endpoint, String lifetime) {
+		Heard known = this.workers.get(endpoint.value());
+		return known != null && String.valueOf(known.entry.lifetime()).equals(lifetime);
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -40,8 +40,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayRun.class);
 
-	/** A crash is assumed if an endpoint was not heard for two heartbeats. */
-	private static final long CRASH_CHECK_MILLIS = 2_600;
+	/** By then the entry of an endpoint that crashed is gone or names another start. */
+	private static final long CRASH_CHECK_MILLIS = 6_000;
 
 	private static final long RETRY_AFTER_MILLIS = 500;
 
@@ -294,13 +294,8 @@
 	}
 
 	private void checkCrash(RelayAttempt lost) {
-		long lostMillis = this.service.nowMillis();
 		this.service.loop().schedule(() -> {
-			boolean isSilent = this.service.workers()
-				.heardMillis(lost.endpoint())
-				.map((heard) -> heard <= lostMillis)
-				.orElse(true);
-			if (isSilent) {
+			if (!this.service.workers().isAlive(lost.endpoint(), lost.lifetime())) {
 				this.service.noteCrash(fingerprint(), lost.endpoint(), lost.lifetime());
 			}
 		}, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
 
 import reactor.core.publisher.Mono;
 
@@ -23,6 +24,7 @@
 import org.poplarloom.core.request.GrantRequest;
 import org.poplarloom.entry.process.Clock;
 import org.poplarloom.entry.process.HomeSelector;
+import org.poplarloom.entry.process.HomeTable;
 import org.poplarloom.entry.process.Peers;
 import org.poplarloom.wire.message.Message;
 
@@ -34,6 +36,17 @@
  */
 public final class GrantClient {
 
+	/**
+	 * A home answers a trial within some milliseconds; short prompts cannot wait longer.
+	 */
+	private static final long TRIAL_TIMEOUT_MILLIS = 150;
+
+	/** A home that has queued a request says so more often than that. */
+	private static final long QUEUE_TIMEOUT_MILLIS = HomeTable.QUEUE_NOTICE_MILLIS + 300;
+
+	/** Time for membership to notice that a home is gone. */
+	private static final long SILENCE_MILLIS = 1_500;
+
 	/** Parts are worth a short wait only; a home answers within some milliseconds. */
 	private static final long PARTS_TIMEOUT_MILLIS = 150;
 
@@ -55,6 +68,8 @@
 
 	private final Map<String, PendingAsk> pending = new ConcurrentHashMap<>();
 
+	private final Map<ShardId, Long> silent = new ConcurrentHashMap<>();
+
 	private final Set<ShardId> announcing = ConcurrentHashMap.newKeySet();
 
 	public GrantClient(HomeSelector selector, Peers peers, Clock clock) {
@@ -124,8 +139,7 @@
 	}
 
 	private Mono<HeldGrant> search(GrantRequest request, Search search) {
-		Optional<ShardStatus> chosen = search.isPatient() ? this.selector.least(search.refused, search.delays)
-				: this.selector.choose(search.refused);
+		Optional<ShardStatus> chosen = choose(search);
 		if (chosen.isPresent()) {
 			return ask(request, chosen.get(), search);
 		}
@@ -146,19 +160,41 @@
 		return Mono.delay(RETRY_DELAY).then(Mono.defer(() -> search(request, search)));
 	}
 
+	private Optional<ShardStatus> choose(Search search) {
+		long now = this.clock.nowMillis();
+		this.silent.values().removeIf((until) -> until <= now);
+		Set<ShardId> avoided = new HashSet<>(search.refused);
+		avoided.addAll(this.silent.keySet());
+		Optional<ShardStatus> chosen = choose(search, avoided);
+		return chosen.isPresent() ? chosen : choose(search, search.refused);
+	}
+
+	private Optional<ShardStatus> choose(Search search, Set<ShardId> avoided) {
+		return search.isPatient() ? this.selector.least(avoided, search.delays) : this.selector.choose(avoided);
+	}
+
 	private Mono<HeldGrant> ask(GrantRequest request, ShardStatus home, Search search) {
-		long waitMillis = Math.max(SHORTEST_WAIT_MILLIS, request.deadlineMillis() - this.clock.nowMillis());
+		long left = Math.max(SHORTEST_WAIT_MILLIS, request.deadlineMillis() - this.clock.nowMillis());
+		long waitMillis = Math.min(left, search.isPatient() ? QUEUE_TIMEOUT_MILLIS : TRIAL_TIMEOUT_MILLIS);
 		CompletableFuture<Message> reply = this.peers.request(home.home(), home.address(), new Message.GrantAsk(
 				home.shard(), request, search.traceParent, this.clock.nowMillis(), !search.isPatient()), waitMillis);
 		PendingAsk ask = new PendingAsk(home, reply);
 		this.pending.put(request.key(), ask);
 		return Mono.fromFuture(reply)
-			.onErrorResume((failure) -> Mono.just(new Message.GrantDenied(ErrorCode.NOT_HOME, 0)))
+			.onErrorResume((failure) -> Mono.just(noAnswer(request, home, failure)))
 			.doFinally((signal) -> this.pending.remove(request.key(), ask))
 			.doOnCancel(() -> withdraw(home, request.key()))
 			.flatMap((message) -> decide(request, home, search, message));
 	}
 
+	private Message noAnswer(GrantRequest request, ShardStatus home, Throwable failure) {
+		withdraw(home, request.key());
+		if (failure instanceof TimeoutException) {
+			this.silent.put(home.shard(), this.clock.nowMillis() + SILENCE_MILLIS);
+		}
+		return new Message.GrantDenied(ErrorCode.NOT_HOME, 0);
+	}
+
 	private Mono<HeldGrant> decide(GrantRequest request, ShardStatus home, Search search, Message message) {
 		if (message instanceof Message.GrantGiven given) {
 			return Mono.just(hold(request, home, given));
@@ -167,6 +203,9 @@
 		if (code == ErrorCode.DEADLINE_EXCEEDED) {
 			return Mono.error(new PoplarloomException(code, "the deadline passed before an endpoint was free"));
 		}
+		if (code == ErrorCode.STILL_QUEUED) {
+			return ask(request, home, search);
+		}
 		search.refuse(home.shard(), code, message);
 		return search(request, search);
 	}
