--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
@@ -0,0 +1,202 @@
+package org.poplarloom.entry.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.FenceNumber;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.TeamId;
+import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.process.HomeSummary;
+import org.poplarloom.core.process.Member;
+import org.poplarloom.core.process.MembershipTable;
+import org.poplarloom.core.process.ShardId;
+import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.request.Grant;
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.PartsWanted;
+import org.poplarloom.core.request.Share;
+import org.poplarloom.core.usage.OwnerKey;
+import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.process.Clock;
+import org.poplarloom.entry.process.HomeSelector;
+import org.poplarloom.entry.process.Peers;
+import org.poplarloom.entry.version.ConfigurationKeeper;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * Tests for {@link GrantClient}.
+ */
+public class GrantClientTests {
+
+	private static final AvailabilityZone OWN = AvailabilityZone.of("norte-a");
+
+	private static final InstanceId SELF = InstanceId.of("self");
+
+	private static final InstanceId FAR = InstanceId.of("far");
+
+	private static final TeamId TEAM = TeamId.of("rota");
+
+	private final Clock clock = Clock.steady();
+
+	private Homes homes;
+
+	private GrantClient client;
+
+	@BeforeMethod
+	public void createClient() {
+		Settings settings = new Settings(SELF, OWN, "127.0.0.1", 0, 1, "", "", "0123456789abcdef", "", 1, 60_000, 1,
+				ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none");
+		MembershipTable membership = MembershipTable.of(new Member(SELF, OWN, "127.0.0.1:1", 1, 0, false), 60_000);
+		ShardStatus far = new ShardStatus(new ShardId(AvailabilityZone.of("norte-b"), 0), FAR, "127.0.0.1:2",
+				this.clock.nowMillis(), new HomeSummary(4, 44, 1, 0, false));
+		membership.mergeShards(List.of(far), this.clock.nowMillis());
+		this.homes = new Homes();
+		this.client = new GrantClient(new HomeSelector(settings, membership, new ConfigurationKeeper(), this.clock),
+				this.homes, this.clock);
+	}
+
+	private GrantRequest request(PartsWanted parts) {
+		return new GrantRequest("r", 1, TEAM, "model", 5_000, 100, 0, this.clock.nowMillis() + 5_000, false, Set.of(),
+				null, parts);
+	}
+
+	private static Message given(Message.GrantAsk ask, int shares) {
+		List<Share> granted = new ArrayList<>();
+		for (int i = 0; i < shares; i++) {
+			granted.add(new Share(EndpointId.of("e" + i), 0));
+		}
+		Grant grant = new Grant(ask.request(), granted, FenceNumber.NONE, ask.request().deadlineMillis(), 30);
+		return new Message.GrantGiven(grant, granted.stream().map((share) -> "a").toList(),
+				granted.stream().map((share) -> "b").toList());
+	}
+
+	private static Message busy(long delayMillis) {
+		return new Message.GrantDenied(ErrorCode.HOME_BUSY, delayMillis);
+	}
+
+	@Test
+	public void aSilentHomeCostsOneTimeoutAndIsAvoidedAfterwards() {
+		this.homes.answers.put(FAR, (ask) -> given(ask, 1));
+		HeldGrant first = this.client.acquire(request(null), "").block();
+		Assert.assertEquals(first.home().home(), FAR);
+		Assert.assertTrue(this.homes.withdrawn(SELF), "the silent home may still hold the request");
+		int asked = this.homes.asked(SELF);
+		this.client.acquire(request(null), "").block();
+		Assert.assertEquals(this.homes.asked(SELF), asked);
+	}
+
+	@Test
+	public void aBusyHomeIsPassedOverForOneThatIsNot() {
+		this.homes.answers.put(SELF, (ask) -> busy(900));
+		this.homes.answers.put(FAR, (ask) -> given(ask, 1));
+		Assert.assertEquals(this.client.acquire(request(null), "").block().home().home(), FAR);
+	}
+
+	@Test
+	public void theHomeWithTheShortestWaitQueuesTheRequest() {
+		this.homes.answers.put(SELF, (ask) -> ask.isTrial() ? busy(900) : given(ask, 1));
+		this.homes.answers.put(FAR, (ask) -> ask.isTrial() ? busy(100) : given(ask, 1));
+		Assert.assertEquals(this.client.acquire(request(null), "").block().home().home(), FAR);
+	}
+
+	@Test
+	public void aQueuedRequestIsAskedForAgainUntilItIsGranted() {
+		int[] questions = new int[1];
+		this.homes.answers.put(FAR, (ask) -> busy(900));
+		this.homes.answers.put(SELF, (ask) -> {
+			if (ask.isTrial()) {
+				return busy(100);
+			}
+			return (++questions[0] < 4) ? new Message.GrantDenied(ErrorCode.STILL_QUEUED, 0) : given(ask, 1);
+		});
+		Assert.assertEquals(this.client.acquire(request(null), "").block().home().home(), SELF);
+		Assert.assertEquals(questions[0], 4);
+	}
+
+	@Test
+	public void whoWillNotWaitHearsThatAllHomesAreBusy() {
+		this.homes.answers.put(SELF, (ask) -> busy(900));
+		this.homes.answers.put(FAR, (ask) -> busy(900));
+		try {
+			this.client.acquirePromptly(request(null)).block();
+			Assert.fail("a grant was given");
+		}
+		catch (PoplarloomException ex) {
+			Assert.assertEquals(ex.code(), ErrorCode.HOME_BUSY);
+		}
+	}
+
+	@Test
+	public void partsAreTakenFromTheNextHomeUntilThereAreEnough() {
+		this.homes.answers.put(SELF, (ask) -> given(ask, Math.min(2, ask.request().parts().most())));
+		this.homes.answers.put(FAR, (ask) -> given(ask, ask.request().parts().most()));
+		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(5, 100, 10))).block();
+		Assert.assertEquals(held.stream().mapToInt((grant) -> grant.grant().shares().size()).sum(), 5);
+		Assert.assertEquals(held.get(0).home().home(), SELF);
+		held.forEach((grant) -> this.client.release(grant, null));
+		Assert.assertEquals(this.client.heldCount(), 0);
+	}
+
+	@Test
+	public void aSilentHomeGivesNoPartsAndIsTold() {
+		this.homes.answers.put(FAR, (ask) -> given(ask, 1));
+		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(3, 100, 10))).block();
+		Assert.assertEquals(held.size(), 1);
+		Assert.assertTrue(this.homes.withdrawn(SELF));
+	}
+
+	/**
+	 * Homes that answer as a test says, or not at all.
+	 */
+	private static final class Homes implements Peers {
+
+		private final Map<InstanceId, Function<Message.GrantAsk, Message>> answers = new HashMap<>();
+
+		private final List<InstanceId> questions = new ArrayList<>();
+
+		private final List<InstanceId> releases = new ArrayList<>();
+
+		int asked(InstanceId home) {
+			return (int) this.questions.stream().filter(home::equals).count();
+		}
+
+		boolean withdrawn(InstanceId home) {
+			return this.releases.contains(home);
+		}
+
+		@Override
+		public void send(InstanceId instance, String address, Message message) {
+			if (message instanceof Message.Release) {
+				this.releases.add(instance);
+			}
+		}
+
+		@Override
+		public CompletableFuture<Message> request(InstanceId instance, String address, Message message,
+				long timeoutMillis) {
+			this.questions.add(instance);
+			Function<Message.GrantAsk, Message> answer = this.answers.get(instance);
+			if (answer == null) {
+				return new CompletableFuture<Message>().orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+			}
+			return CompletableFuture.completedFuture(answer.apply((Message.GrantAsk) message));
+		}
+
+	}
+
+}
