--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -13,6 +13,7 @@
 import org.poplarloom.core.Findings;
 import org.poplarloom.core.version.ContractReader;
 import org.poplarloom.entry.process.Daemon;
+import org.poplarloom.entry.process.HangupSignal;
 import org.poplarloom.entry.process.RelayDaemon;
 import org.poplarloom.platform.PlatformSettings;
 
@@ -95,7 +96,7 @@
 		if (options.logFormat().equals("json")) {
 			System.setProperty("logback.configurationFile", "logback-json.xml");
 		}
-		start(settings, platform);
+		start(settings, platform, Path.of(options.config()));
 		return -1;
 	}
 
@@ -107,10 +108,12 @@
 		return (platform != null) ? reader.read(options, System.getenv(), platform) : null;
 	}
 
-	private static void start(Settings settings, PlatformSettings platform) {
+	private static void start(Settings settings, PlatformSettings platform, Path file) {
 		Runnable stop;
 		if (platform != null) {
-			stop = RelayDaemon.start(platform, settings)::stopGracefully;
+			RelayDaemon daemon = RelayDaemon.start(platform, settings);
+			HangupSignal.handle(() -> daemon.reload(file));
+			stop = daemon::stopGracefully;
 		}
 		else {
 			stop = Daemon.start(settings)::stopGracefully;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -91,6 +91,7 @@
 		InstanceId instance = identifier("node", platform.instance(), InstanceId::of);
 		AvailabilityZone zone = identifier("zone", platform.zone(), AvailabilityZone::of);
 		String peerKey = secret(PEER_KEY, environment);
+		int metricsPort = (int) number("--http-port", options.httpPort(), 0, HIGHEST_PORT);
 		int shards = (int) number("--shards-per-zone", options.shardsPerZone(), 1, MOST_SHARDS);
 		long failure = millis("--failure-timeout-ms", options.failureTimeoutMillis());
 		long settle = millis("--settle-ms", options.settleMillis());
@@ -100,8 +101,8 @@
 		if (!this.findings.isEmpty()) {
 			return null;
 		}
-		return new Settings(instance, zone, platform.host(), 0, platform.peerPort(), platform.storeAddress(), "",
-				peerKey, "", shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), 0,
+		return new Settings(instance, zone, platform.host(), metricsPort, platform.peerPort(), platform.storeAddress(),
+				"", peerKey, "", shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), 0,
 				platform.graceMillis(), OwnerKey.none(), options.traceExport());
 	}
 
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HangupSignal.java
@@ -0,0 +1,33 @@
+package org.poplarloom.entry.process;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/**
+ * The signal with which the platform says that settings have changed.
+ * <p>
+ * A Java process that does not handle the signal ends. This class has no state and is
+ * thread-safe.
+ */
+public final class HangupSignal {
+
+	private static final Logger logger = LoggerFactory.getLogger(HangupSignal.class);
+
+	private HangupSignal() {
+	}
+
+	/**
+	 * Runs a task whenever the signal arrives.
+	 * @param task the task
+	 */
+	public static void handle(Runnable task) {
+		try {
+			Signal.handle(new Signal("HUP"), (signal) -> task.run());
+		}
+		catch (IllegalArgumentException ex) {
+			logger.warn("event=signal_not_handled signal=HUP cause=\"{}\"", ex.getMessage());
+		}
+	}
+
+}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -1,6 +1,7 @@
 package org.poplarloom.entry.process;
 
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -21,6 +22,7 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Findings;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.process.CostPlacement;
 import org.poplarloom.core.version.Documents;
@@ -28,6 +30,7 @@
 import org.poplarloom.core.version.ZoneOrder;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.relay.FrontServer;
+import org.poplarloom.entry.relay.RelayMetrics;
 import org.poplarloom.entry.relay.RelayService;
 import org.poplarloom.entry.version.RoutingKeeper;
 import org.poplarloom.platform.CallerFormat;
@@ -104,6 +107,8 @@
 
 	private final FrontServer front;
 
+	private final RelayMetrics metrics;
+
 	private TableFollower workerTable;
 
 	private volatile boolean stopping;
@@ -117,6 +122,9 @@
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
 		RelayService relay = new RelayService(this.node, this.routing, this.workers, exchanger, new WorkerFormat(),
 				this.loop, platform.retryRatio());
+		this.metrics = relay.metrics();
+		this.metrics.show("connections.opened", exchanger::opened);
+		this.metrics.show("grants.held", () -> (long) this.node.grants().heldCount());
 		this.front = new FrontServer(this.group, new CallerFormat(), relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 	}
@@ -143,6 +151,9 @@
 		announce();
 		this.front.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.front.listen(this.platform.callerAddress());
+		if (this.settings.httpPort() > 0) {
+			this.front.listenMetrics(this.settings.host() + ":" + this.settings.httpPort(), this.metrics);
+		}
 		logger.info("event=started instance={} zone={} callers={} peers={}", this.settings.instance(),
 				this.settings.zone(), this.platform.callerAddress(), peerAddress());
 	}
@@ -259,10 +270,14 @@
 	}
 
 	/**
-	 * Notes that the settings file may have changed.
+	 * Reads the settings file again; addresses and places hold until the next start.
+	 * @param file the file
 	 */
-	public void reload() {
-		logger.info("event=reload");
+	public void reload(Path file) {
+		Findings findings = new Findings();
+		PlatformSettings next = PlatformSettings.read(file, findings);
+		logger.info("event=reload changed={} findings={}", next != null && !next.equals(this.platform),
+				findings.entries());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/FrontServer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/FrontServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 
 import org.poplarloom.core.version.RoutingTable;
@@ -77,11 +78,30 @@
 	 * @return the socket
 	 */
 	public Channel listenReadiness(String address, Supplier<String> readiness) {
+		return listenText(address, () -> {
+			String reason = readiness.get();
+			HttpResponseStatus status = reason.isEmpty() ? HttpResponseStatus.OK
+					: HttpResponseStatus.SERVICE_UNAVAILABLE;
+			return new TextHandler.Text(status, reason);
+		});
+	}
+
+	/**
+	 * Starts to show counts and times.
+	 * @param address the host and port
+	 * @param metrics the counts and times
+	 * @return the socket
+	 */
+	public Channel listenMetrics(String address, RelayMetrics metrics) {
+		return listenText(address, () -> new TextHandler.Text(HttpResponseStatus.OK, metrics.text()));
+	}
+
+	private Channel listenText(String address, Supplier<TextHandler.Text> text) {
 		return bind(address, new ChannelInitializer<SocketChannel>() {
 
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				channel.pipeline().addLast(new HttpServerCodec(), new ReadinessHandler(readiness));
+				channel.pipeline().addLast(new HttpServerCodec(), new TextHandler(text));
 			}
 
 		});
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -81,6 +81,8 @@
 
 	private boolean mayHaveRun;
 
+	private AttemptFailure ownFailure;
+
 	private boolean ended;
 
 	private boolean begun;
@@ -244,6 +246,16 @@
 		if (this.begun) {
 			abort(cause.code().text());
 		}
+		else {
+			fail(cause);
+		}
+	}
+
+	// An endpoint's own failure tells the caller more than one of the system's.
+	private void fail(PoplarloomException cause) {
+		if (this.ownFailure != null) {
+			answer(this.ownFailure.answer(), this.ownFailure.body());
+		}
 		else {
 			finish(refusal(cause));
 		}
@@ -273,6 +285,10 @@
 				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} faulty={} mayHaveRun={} cause=\"{}\"",
 				this.request.id(), this.attempts, ended.endpoint(), ended.lifetime(), failure.faulty(),
 				failure.mayHaveRun(), failure.cause());
+		this.service.metrics().attemptFailed(failure.mayHaveRun());
+		if (failure.answer() != null) {
+			this.ownFailure = failure;
+		}
 		if (failure.isConnectionLost()) {
 			checkCrash(ended);
 		}
@@ -285,11 +301,8 @@
 		if (this.begun) {
 			abort(failure.cause());
 		}
-		else if (failure.answer() != null) {
-			answer(failure.answer(), failure.body());
-		}
 		else {
-			finish(refusal(new PoplarloomException(ErrorCode.NO_ENDPOINT, failure.cause())));
+			fail(new PoplarloomException(ErrorCode.NO_ENDPOINT, failure.cause()));
 		}
 	}
 
@@ -398,6 +411,8 @@
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
+		long ageMillis = this.service.nowMillis() - this.startedMillis;
+		this.service.metrics().ended(outcome, this.request.promptTokens(), this.firstMillis, ageMillis);
 		logger.info(
 				"request={} event=ended outcome={} detail=\"{}\" route={} service={} team={} prompt={} attempts={}"
 						+ " grants={} parts={} configuration={} first_ms={} age_ms={}",
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -44,6 +44,8 @@
 
 	private final double retryPercent;
 
+	private final RelayMetrics metrics = new RelayMetrics();
+
 	private final Map<String, RetryBudget> budgets = new HashMap<>();
 
 	/**
@@ -106,6 +108,14 @@
 		}
 	}
 
+	/**
+	 * Returns the counts and times of requests.
+	 * @return the metrics
+	 */
+	public RelayMetrics metrics() {
+		return this.metrics;
+	}
+
 	long nowMillis() {
 		return this.node.clock().nowMillis();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ReadinessHandler.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/TextHandler.java
@@ -16,16 +16,16 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Answers the balancer's health checks.
+ * Answers every request with a short text, such as the balancer's health checks.
  * <p>
  * This class is not thread-safe; the event loop guards it.
  */
-final class ReadinessHandler extends SimpleChannelInboundHandler<HttpObject> {
+final class TextHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-	private final Supplier<String> readiness;
+	private final Supplier<Text> text;
 
-	ReadinessHandler(Supplier<String> readiness) {
-		this.readiness = readiness;
+	TextHandler(Supplier<Text> text) {
+		this.text = text;
 	}
 
 	@Override
@@ -37,10 +37,9 @@
 		if (!(message instanceof LastHttpContent)) {
 			return;
 		}
-		String reason = this.readiness.get();
-		HttpResponseStatus status = reason.isEmpty() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8));
+		Text current = this.text.get();
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, current.status(),
+				Unpooled.copiedBuffer(current.content(), StandardCharsets.UTF_8));
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -51,4 +50,13 @@
 		ctx.close();
 	}
 
+	/**
+	 * What is answered.
+	 *
+	 * @param status the status
+	 * @param content the body
+	 */
+	record Text(HttpResponseStatus status, String content) {
+	}
+
 }
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
@@ -11,12 +11,14 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import sun.misc.Signal;
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.ColdStartRamp;
 import org.poplarloom.core.usage.OwnerKey;
 import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.process.HangupSignal;
 import org.poplarloom.entry.process.RelayDaemon;
 import org.poplarloom.platform.ConfigurationFormat;
 import org.poplarloom.platform.PlatformSettings;
@@ -42,6 +44,8 @@
 
 	private String address;
 
+	private int metricsPort;
+
 	@BeforeMethod
 	public void start() throws IOException {
 		this.store = new StoreStandIn();
@@ -51,8 +55,9 @@
 		int peerPort = freePort();
 		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", this.address,
 				"127.0.0.1:" + freePort(), peerPort, this.store.address(), List.of(), 2_000, 0.2);
-		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1", 0,
-				peerPort, this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1,
+		this.metricsPort = freePort();
+		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1",
+				this.metricsPort, peerPort, this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1,
 				new ColdStartRamp.Settings(4, 1, 1), 0, 2_000, OwnerKey.none(), "none");
 		this.daemon = RelayDaemon.start(platform, settings);
 	}
@@ -191,6 +196,69 @@
 		Assert.assertTrue(answer.toLowerCase(Locale.ROOT).contains("retry-after"), answer);
 	}
 
+	@Test
+	public void anEndpointsOwnFailureIsPassedOnWhenNoOtherEndpointIsLeft() {
+		configure("app", "ready");
+		this.first.answerWith((request, out) -> out.write(out.head(request, 500, "Content-Length: 3") + "bad"));
+		String answer = exchange("GET /again/x", "r1", "");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 500"), answer);
+		Assert.assertTrue(answer.contains("Server-Stamp: 3e1b.r1"), answer);
+		Assert.assertTrue(answer.endsWith("\r\n\r\nbad"), answer);
+	}
+
+	@Test
+	public void countsAndTimesAreShown() throws IOException {
+		configure("app", "ready");
+		exchange("GET /again/x", "r1", "");
+		try (CallerStandIn caller = new CallerStandIn("127.0.0.1:" + this.metricsPort)) {
+			caller.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+			String text = caller.readAll();
+			Assert.assertTrue(text.contains("poplarloom_requests_plain_answered"), text);
+			Assert.assertTrue(text.contains("poplarloom_time_plain_p99"), text);
+			Assert.assertTrue(text.contains("poplarloom_grants_held 0"), text);
+		}
+	}
+
+	@Test
+	public void aHangupEndsNeitherTheProcessNorARequest() throws IOException {
+		configure("model", "ready");
+		CountDownLatch reloaded = new CountDownLatch(1);
+		HangupSignal.handle(reloaded::countDown);
+		this.first.answerWith((request, out) -> {
+			out.write(out.head(request, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+			out.write(out.event(0));
+			await(() -> reloaded.getCount() == 0);
+			out.write(out.event(1) + "0\r\n\r\n");
+		});
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/x", "r1", "Connection: close\r\n", "prompt");
+			caller.readUntil("piece 0");
+			Signal.raise(new Signal("HUP"));
+			Assert.assertTrue(caller.readAll().contains("piece 1"));
+		}
+	}
+
+	@Test
+	public void aGracefulStopLetsTheAnswerInProgressEnd() throws Exception {
+		configure("model", "ready");
+		this.first.answerWith((request, out) -> {
+			out.write(out.head(request, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+			for (int id = 0; id < 20; id++) {
+				out.write(out.event(id));
+				pause();
+			}
+			out.write("0\r\n\r\n");
+		});
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/x", "r1", "", "prompt");
+			caller.readUntil("piece 0");
+			Thread stop = new Thread(this.daemon::stopGracefully);
+			stop.start();
+			Assert.assertTrue(caller.readUntil("\r\n0\r\n\r\n").contains("piece 19"));
+			stop.join();
+		}
+	}
+
 	@Test
 	public void aTruncatedAnswerIsNeverShownAsWhole() {
 		configure("app", "ready");
