Split the search for endpoints from the run; never pass on a refusal that proves nothing

And a fault: a worker's 408, 429 or 503 without the header that proves it had not run the request was passed on, though these statuses promise callers just that. Change: GrantSearch and ReadingBacklog are classes of their own; such answers end as 502 without the worker's receipt.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -43,8 +43,7 @@
 
 	private final Map<String, Hold> holds = new HashMap<>();
 
-	/** The time in milliseconds that each prompt that is not read yet takes. */
-	private final Map<String, Double> reading = new HashMap<>();
+	private final ReadingBacklog reading = new ReadingBacklog();
 
 	private final Map<String, Long> orphans = new HashMap<>();
 
@@ -68,8 +67,6 @@
 
 	private int slowFirstTokens;
 
-	private double progressMillis;
-
 	EndpointLedger(EndpointReport report, ColdStartRamp ramp) {
 		this.report = report;
 		this.ramp = ramp;
@@ -158,11 +155,7 @@
 	 * @return milliseconds from now, 0 if it reads nothing
 	 */
 	public double backlogMillis(long nowMillis) {
-		if (this.reading.isEmpty()) {
-			return 0;
-		}
-		double parts = this.reading.values().stream().mapToDouble(Double::doubleValue).sum();
-		return Math.max(0, parts - Math.max(0, nowMillis - this.progressMillis));
+		return this.reading.millis(nowMillis);
 	}
 
 	/**
@@ -237,10 +230,7 @@
 		if (isPrefilling && !this.holds.containsKey(grant.key())) {
 			double part = isPart ? grant.request().parts().partMillis()
 					: prefillMillis(grant.request().promptTokens()) / (grant.isParallel() ? grant.shares().size() : 1);
-			if (this.reading.isEmpty()) {
-				this.progressMillis = nowMillis;
-			}
-			this.reading.put(grant.key(), part);
+			this.reading.add(grant.key(), part, nowMillis);
 		}
 		Hold previous = this.holds.put(grant.key(), hold);
 		if (previous != null) {
@@ -266,7 +256,7 @@
 		if (hold == null) {
 			return;
 		}
-		endReading(key, nowMillis);
+		this.reading.finish(key, nowMillis);
 		if (hold.isHelper()) {
 			release(key);
 		}
@@ -279,12 +269,6 @@
 		}
 	}
 
-	private void endReading(String key, long nowMillis) {
-		if (this.reading.remove(key) != null) {
-			this.progressMillis = nowMillis;
-		}
-	}
-
 	void startPrefill(String key) {
 		Hold hold = this.holds.get(key);
 		if (hold != null && !hold.isPrefillingLong() && hold.request().lengthClass().isLong()) {
@@ -310,7 +294,7 @@
 		if (hold == null) {
 			return false;
 		}
-		this.reading.remove(key);
+		this.reading.drop(key);
 		forget(hold);
 		return true;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -2,18 +2,14 @@
 
 import java.util.Arrays;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import reactor.core.Disposable;
-import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
@@ -21,12 +17,9 @@
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.TeamId;
 import org.poplarloom.core.request.AnswerPace;
-import org.poplarloom.core.request.GrantRequest;
-import org.poplarloom.core.request.PartsWanted;
 import org.poplarloom.core.version.PrefillPlan;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
-import org.poplarloom.entry.request.HeldGrant;
 import org.poplarloom.port.relay.RelayRequest;
 
 /**
@@ -71,14 +64,12 @@
 
 	private ScheduledFuture<?> timer;
 
-	private Disposable asking;
+	private GrantSearch search;
 
 	private RelayAttempt attempt;
 
 	private int attempts;
 
-	private int grants;
-
 	private boolean mayHaveRun;
 
 	private AttemptFailure ownFailure;
@@ -89,8 +80,6 @@
 
 	private PrefillPlan plan;
 
-	private boolean lateTried;
-
 	private long firstMillis = NO_TIME;
 
 	private int parts;
@@ -122,127 +111,26 @@
 	}
 
 	private void askForGrant() {
-		if (this.plan == null) {
-			acquire(this.service.node().grants().acquire(grantRequest(null), ""), this::denied);
-		}
-		else if (this.plan.isTooLargeForOne()) {
-			collectParts(this.plan.inTime(remainingTargetMillis()));
-		}
-		else {
-			acquire(this.service.node().grants().acquirePromptly(grantRequest(null)), this::notPrompt);
-		}
-	}
-
-	private void acquire(Mono<HeldGrant> grant, Consumer<Throwable> failed) {
-		this.asking = grant.subscribe((held) -> this.service.loop().execute(() -> granted(held)),
-				(failure) -> this.service.loop().execute(() -> failed.accept(failure)));
-	}
-
-	private void notPrompt(Throwable failure) {
-		boolean isBusy = failure instanceof PoplarloomException known && known.code() == ErrorCode.HOME_BUSY;
-		if (this.ended || !isBusy) {
-			denied(failure);
-			return;
-		}
-		collectParts(this.plan.inTime(remainingTargetMillis()));
-	}
-
-	private long remainingTargetMillis() {
-		return pace().targetMillis() - this.service.nowMillis();
-	}
-
-	// Asked of all homes, as no single one has enough idle endpoints.
-	private void collectParts(PartsWanted wanted) {
-		if (wanted == null) {
-			partsMissing();
-			return;
-		}
-		this.service.node()
-			.grants()
-			.acquireParts(grantRequest(wanted))
-			.subscribe((held) -> this.service.loop().execute(() -> partsCollected(wanted, held)),
-					(failure) -> this.service.loop().execute(() -> denied(failure)));
-	}
-
-	private void partsCollected(PartsWanted wanted, List<HeldGrant> held) {
-		int parts = held.stream().mapToInt((grant) -> grant.grant().shares().size()).sum();
-		logger.info("request={} event=parts wanted={} part_ms={} part_tokens={} got={} homes={}", this.request.id(),
-				wanted.most(), (long) wanted.partMillis(), wanted.partKvTokens(), parts, held.size());
-		if (!this.ended && parts >= wanted.most()) {
-			startAttempt(AttemptPlace.of(this.service.node().grants(), held), parts);
-			return;
-		}
-		held.forEach((grant) -> this.service.node().grants().release(grant, null));
-		if (!this.ended) {
-			partsMissing();
-		}
-	}
-
-	// What fits one endpoint may wait for it; the rest runs late on fewer idle endpoints.
-	private void partsMissing() {
-		if (!this.plan.isTooLargeForOne()) {
-			acquire(this.service.node().grants().acquire(grantRequest(null), ""), this::denied);
-			return;
-		}
-		PartsWanted late = this.lateTried ? null : this.plan.late(pace().latestMillis() - this.service.nowMillis());
-		this.lateTried = true;
-		if (late != null) {
-			collectParts(late);
-		}
-		else {
-			denied(new PoplarloomException(ErrorCode.NO_ENDPOINT, "too few endpoints are idle for so long a prompt"));
-		}
-	}
-
-	private AnswerPace pace() {
-		boolean isFirst = this.attempts == 0;
-		long started = isFirst ? this.startedMillis : this.service.nowMillis();
-		return new AnswerPace(started + this.route.targetMillis(),
-				Math.min(this.deadlineMillis, started + this.route.patienceMillis()), this.route.pauseMillis());
-	}
-
-	private GrantRequest grantRequest(PartsWanted parts) {
-		this.grants++;
-		AnswerPace pace = pace();
-		if (this.lateTried) {
-			pace = new AnswerPace(pace.latestMillis(), pace.latestMillis(), pace.pauseMillis());
-		}
-		return new GrantRequest(this.request.id() + "." + this.grants, 1, teamId(), this.serviceName,
-				this.request.promptTokens(), this.request.answerTokens(), 0, this.deadlineMillis, false, this.excluded,
-				pace, parts);
+		long started = (this.attempts == 0) ? this.startedMillis : this.service.nowMillis();
+		AnswerPace pace = GrantSearch.Wanted.pace(this.route, started, this.deadlineMillis);
+		GrantSearch.Wanted wanted = new GrantSearch.Wanted(this.request, this.request.id() + "." + this.attempts,
+				teamId(), this.serviceName, this.plan, this.deadlineMillis, pace, this.excluded);
+		this.search = new GrantSearch(this.service, wanted, this::startAttempt, this::denied);
+		this.search.start();
 	}
 
 	private TeamId teamId() {
 		return (this.team != null) ? this.team.id() : NO_TEAM;
 	}
 
-	private void granted(HeldGrant held) {
-		if (this.ended) {
-			this.service.node().grants().release(held, null);
-			return;
-		}
-		if (!this.service.workers().isServing(held.grant().answering())) {
-			this.service.node().grants().release(held, null);
-			this.excluded.add(held.grant().answering());
-			askForGrant();
-			return;
-		}
-		startAttempt(AttemptPlace.of(this.service.node().grants(), held), held.grant().shares().size());
-	}
-
-	private void startAttempt(AttemptPlace place, int partCount) {
+	private void startAttempt(AttemptPlace place) {
 		this.attempts++;
-		this.parts = partCount;
+		this.parts = place.helpers().size() + 1;
 		this.attempt = new RelayAttempt(this, place, this.request.id() + "." + this.attempts);
 		this.attempt.start();
 	}
 
-	private void denied(Throwable failure) {
-		if (this.ended) {
-			return;
-		}
-		PoplarloomException cause = (failure instanceof PoplarloomException known) ? known
-				: new PoplarloomException(ErrorCode.INTERNAL, Executed.UNKNOWN, String.valueOf(failure));
+	private void denied(PoplarloomException cause) {
 		if (this.begun) {
 			abort(cause.code().text());
 		}
@@ -333,8 +221,8 @@
 	}
 
 	private void dropAttempt() {
-		if (this.asking != null) {
-			this.asking.dispose();
+		if (this.search != null) {
+			this.search.cancel();
 		}
 		if (this.attempt != null) {
 			this.mayHaveRun = true;
@@ -415,10 +303,10 @@
 		this.service.metrics().ended(outcome, this.request.promptTokens(), this.firstMillis, ageMillis);
 		logger.info(
 				"request={} event=ended outcome={} detail=\"{}\" route={} service={} team={} prompt={} attempts={}"
-						+ " grants={} parts={} configuration={} first_ms={} age_ms={}",
+						+ " parts={} configuration={} first_ms={} age_ms={}",
 				this.request.id(), outcome, detail, (this.route != null) ? this.route.name() : "", this.serviceName,
-				teamId(), this.request.promptTokens(), this.attempts, this.grants, this.parts, this.version,
-				this.firstMillis, this.service.nowMillis() - this.startedMillis);
+				teamId(), this.request.promptTokens(), this.attempts, this.parts, this.version, this.firstMillis,
+				this.service.nowMillis() - this.startedMillis);
 	}
 
 	/**
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
@@ -206,6 +206,15 @@
 		Assert.assertTrue(answer.endsWith("\r\n\r\nbad"), answer);
 	}
 
+	@Test
+	public void aFailureThatOnlyLooksLikeARefusalIsNotPassedOnAsOne() {
+		configure("app", "ready");
+		this.first.answerWith((request, out) -> out.write(out.head(request, 503, "Content-Length: 3") + "bad"));
+		String answer = exchange("POST /once/x", "r1", "swap");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		Assert.assertFalse(answer.contains("Server-Stamp"), answer);
+	}
+
 	@Test
 	public void countsAndTimesAreShown() throws IOException {
 		configure("app", "ready");
