--- a/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/ErrorCode.java
@@ -5,8 +5,9 @@
 /**
  * Every error that a caller or operator can meet, with its HTTP status.
  * <p>
- * The text form of a code never changes once released. This enum is immutable and
- * thread-safe.
+ * The text form of a code never changes once released, nor does its place: instances send
+ * each other the number of the place, so new codes are added at the end. This enum is
+ * immutable and thread-safe.
  */
 public enum ErrorCode {
 
@@ -48,10 +49,6 @@
 	DEADLINE_UNREACHABLE(503),
 	/** The queue of every reachable home is full. */
 	QUEUE_FULL(503),
-	/** The request is still queued at a home, which has to be asked again. */
-	STILL_QUEUED(503),
-	/** A home would not start the request in time; another one may. */
-	HOME_BUSY(503),
 	/** No home with a suitable endpoint can be reached. */
 	NO_ENDPOINT(503),
 	/** The availability zone takes no new work. */
@@ -83,7 +80,11 @@
 	/** A book of usage does not match its signature, chain or counterpart. */
 	BOOK_MISMATCH(409),
 	/** A defect in this program. */
-	INTERNAL(500);
+	INTERNAL(500),
+	/** A home would not start the request in time; another one may. */
+	HOME_BUSY(503),
+	/** The request is still queued at a home, which has to be asked again. */
+	STILL_QUEUED(503);
 
 	private final int status;
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
@@ -13,7 +13,8 @@
  * @param instance the name of the instance
  * @param zone the availability zone
  * @param host the local IP number that callers and peers reach
- * @param httpPort the port for callers and operators, 0 for any free one
+ * @param httpPort the port for callers and operators, 0 for any free one; on the users'
+ * platform the port for metrics, 0 for none
  * @param peerPort the port for peers, 0 for any free one
  * @param logAddress the log service's host and port
  * @param listAddress the instance list's host and port
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/WorkerDirectory.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -30,9 +30,9 @@
  * An endpoint's entry stands for its report, so that nobody has to ask it; it is written
  * again only when more than a counter has changed. This class is thread-safe.
  */
-public final class WorkerDirectory implements InstanceListPort, ReportPort {
+public final class PublishedEntries implements InstanceListPort, ReportPort {
 
-	private static final Logger logger = LoggerFactory.getLogger(WorkerDirectory.class);
+	private static final Logger logger = LoggerFactory.getLogger(PublishedEntries.class);
 
 	/** Started so long ago that it counts as warm. */
 	private static final long WARM_MILLIS = 3_600_000;
@@ -47,7 +47,7 @@
 
 	private final Map<String, Listed> instances = new ConcurrentHashMap<>();
 
-	public WorkerDirectory(RoutingKeeper routing, Clock clock) {
+	public PublishedEntries(RoutingKeeper routing, Clock clock) {
 		this.routing = routing;
 		this.clock = clock;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -99,7 +99,7 @@
 
 	private final RoutingKeeper routing = new RoutingKeeper();
 
-	private final WorkerDirectory workers;
+	private final PublishedEntries entries;
 
 	private final Node node;
 
@@ -116,11 +116,11 @@
 	private RelayDaemon(PlatformSettings platform, Settings settings) {
 		this.platform = platform;
 		this.settings = settings;
-		this.workers = new WorkerDirectory(this.routing, Clock.steady());
-		this.node = new Node(settings, Ports.forRelay(this.workers, this.workers), CostPlacement::new);
+		this.entries = new PublishedEntries(this.routing, Clock.steady());
+		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new);
 		HttpExchanger exchanger = new HttpExchanger(this.loop);
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
-		RelayService relay = new RelayService(this.node, this.routing, this.workers, exchanger, new WorkerFormat(),
+		RelayService relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(),
 				this.loop, platform.retryRatio());
 		this.metrics = relay.metrics();
 		this.metrics.show("connections.opened", exchanger::opened);
@@ -147,7 +147,7 @@
 		follow(Tables.OPERATORS, () -> OPERATOR_TIMING, this::notifyPeers, this::learnOperatorRecord);
 		this.workerTable = follow(Tables.WORKERS, this::workerTiming, RelayDaemon::notifyNobody,
 				this::learnWorkerRecord);
-		follow(Tables.STATUS, () -> STATUS_TIMING, RelayDaemon::notifyNobody, this.workers::hearInstance);
+		follow(Tables.STATUS, () -> STATUS_TIMING, RelayDaemon::notifyNobody, this.entries::hearInstance);
 		announce();
 		this.front.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.front.listen(this.platform.callerAddress());
@@ -177,13 +177,13 @@
 	}
 
 	private void notifyPeers(Message notice) {
-		List<String> addresses = new ArrayList<>(this.workers.peerAddresses(peerAddress()));
+		List<String> addresses = new ArrayList<>(this.entries.peerAddresses(peerAddress()));
 		Collections.shuffle(addresses);
 		addresses.stream().limit(NOTIFIED_PEERS).forEach((address) -> this.node.network().send(address, notice));
 	}
 
 	private CompletableFuture<Message> askAnyPeer(Message question) {
-		List<String> addresses = new ArrayList<>(this.workers.peerAddresses(peerAddress()));
+		List<String> addresses = new ArrayList<>(this.entries.peerAddresses(peerAddress()));
 		for (String seed : this.platform.seeds()) {
 			addresses.add(seed.substring(0, seed.lastIndexOf(':') + 1) + this.platform.peerPort());
 		}
@@ -243,7 +243,7 @@
 			return;
 		}
 		try {
-			if (this.workers.hear(WorkerEntryFormat.read(entry.key(), entry.value()))) {
+			if (this.entries.hear(WorkerEntryFormat.read(entry.key(), entry.value()))) {
 				this.node.refreshEndpoints();
 			}
 		}
@@ -257,7 +257,7 @@
 		boolean mayReturn = this.workerTable != null && this.workerTable.regainedMillis() > 0
 				&& now - this.workerTable.regainedMillis() < LAPSE_GRACE_MILLIS;
 		this.loop.schedule(() -> {
-			this.workers.remove(id, now);
+			this.entries.remove(id, now);
 			this.node.refreshEndpoints();
 		}, mayReturn ? LAPSE_GRACE_MILLIS : 0, TimeUnit.MILLISECONDS);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -114,11 +113,7 @@
 				logger.error("table={} event=listener_failed", this.table, ex);
 				again(FAILURE_PAUSE_MILLIS);
 			}
-		}, onScheduler());
-	}
-
-	private Executor onScheduler() {
-		return this.scheduler;
+		}, this.scheduler);
 	}
 
 	private void finishStep(long from, Page page, Throwable failure) {
@@ -136,7 +131,7 @@
 					takeSnapshot(read);
 				}
 				again(FAILURE_PAUSE_MILLIS);
-			}, onScheduler());
+			}, this.scheduler);
 			return;
 		}
 		if (from == NOT_READ) {
@@ -244,7 +239,7 @@
 						content.end());
 				take(entries, content.end());
 			}
-		}, onScheduler());
+		}, this.scheduler);
 	}
 
 	private static Entry entry(Message.TableRecord message) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
@@ -96,7 +96,7 @@
 			grants().release(held, null);
 			return;
 		}
-		if (!this.service.workers().isServing(held.grant().answering())) {
+		if (!this.service.entries().isServing(held.grant().answering())) {
 			grants().release(held, null);
 			this.wanted.excluded().add(held.grant().answering());
 			start();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -196,7 +196,7 @@
 
 	private void checkCrash(RelayAttempt lost) {
 		this.service.loop().schedule(() -> {
-			if (!this.service.workers().isAlive(lost.endpoint(), lost.lifetime())) {
+			if (!this.service.entries().isAlive(lost.endpoint(), lost.lifetime())) {
 				this.service.noteCrash(fingerprint(), lost.endpoint(), lost.lifetime());
 			}
 		}, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -14,7 +14,7 @@
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
 import org.poplarloom.entry.process.Node;
-import org.poplarloom.entry.process.WorkerDirectory;
+import org.poplarloom.entry.process.PublishedEntries;
 import org.poplarloom.entry.version.RoutingKeeper;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.EndpointProtocol;
@@ -34,7 +34,7 @@
 
 	private final RoutingKeeper routing;
 
-	private final WorkerDirectory workers;
+	private final PublishedEntries entries;
 
 	private final HttpExchanger exchanger;
 
@@ -52,17 +52,17 @@
 	 * Creates a service.
 	 * @param node the instance
 	 * @param routing the routes
-	 * @param workers the endpoints
+	 * @param entries the endpoints
 	 * @param exchanger the client for endpoints
 	 * @param protocol how endpoints are called
 	 * @param loop the event loop
 	 * @param retryRatio the repetitions per request that a service may get
 	 */
-	public RelayService(Node node, RoutingKeeper routing, WorkerDirectory workers, HttpExchanger exchanger,
+	public RelayService(Node node, RoutingKeeper routing, PublishedEntries entries, HttpExchanger exchanger,
 			EndpointProtocol protocol, EventLoop loop, double retryRatio) {
 		this.node = node;
 		this.routing = routing;
-		this.workers = workers;
+		this.entries = entries;
 		this.exchanger = exchanger;
 		this.protocol = protocol;
 		this.loop = loop;
@@ -124,8 +124,8 @@
 		return this.node;
 	}
 
-	WorkerDirectory workers() {
-		return this.workers;
+	PublishedEntries entries() {
+		return this.entries;
 	}
 
 	HttpExchanger exchanger() {
