Keep pauses short, read long prompts sooner, and let requests go first that can be in time

A part of a long prompt was fitted to the pause alone, without what the engine had yet to read; and what had been granted a moment ago counted as partly read, though an engine begins it with its next pass only. Short prompts of 10,000 tokens and more were not fitted to pauses at all. - A prompt that needs 10 idle engines found 9 and was read late by 4; others were refused at once in seconds in which engines became idle. - A prompt that missed its target took the engines that were soonest, and paused up to 50 answers. - Under overload the queue gave the oldest request the next place, so all started late. Changes: pauses are fitted to all that is unread; up to twice the fewest engines are taken if idle, and homes are asked again until the target cannot be met; a late prompt waits for engines without answers and then pauses as few as possible; requests that can start in time go first.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 
+import org.poplarloom.core.request.AnswerPace;
 import org.poplarloom.core.request.GrantRequest;
 import org.poplarloom.core.request.PartsWanted;
 import org.poplarloom.core.request.Share;
@@ -13,22 +14,28 @@
  * <p>
  * Short prompts gather on endpoints that already write answers, as long as they start in
  * time there, so that other endpoints stay free for long prompts. A long prompt is read
- * by as few endpoints together as its first token allows, and where possible not on one
- * whose answers would pause for too long. It waits for better endpoints while there is
- * time. Calls of plain services go to the endpoint that runs the fewest. This class has
- * no state and is thread-safe.
+ * by as few endpoints together as its first token allows, and not on one whose answers
+ * would pause for too long unless it has waited for another for some time. Calls of plain
+ * services go to the endpoint that runs the fewest. This class has no state and is
+ * thread-safe.
  */
 public final class CostPlacement implements PlacementPolicy {
 
-	/** The most endpoints that read one prompt: the first one and 16 helpers. */
-	private static final int MOST_PARTS = 17;
-
 	/** Smallest part worth the transfer between engines, in milliseconds of reading. */
 	private static final double SMALLEST_PART_MILLIS = 60;
 
 	/** Part of the time to the first token that is planned with; the rest is reserve. */
 	private static final double TARGET_SHARE = 0.85;
 
+	/** Part of the caller's patience that is planned with; the rest is reserve. */
+	private static final double LATE_SHARE = 0.7;
+
+	/**
+	 * Part of the time between the target and the end of the caller's patience in which a
+	 * late prompt waits for an endpoint without answers.
+	 */
+	private static final double CALM_SHARE = 0.2;
+
 	/** Part of the longest pause that is planned with; the rest is reserve. */
 	private static final double PAUSE_SHARE = 0.85;
 
@@ -54,7 +61,7 @@
 		double whole = candidates.get(0).prefillMillis(request.promptTokens());
 		double fastest = whole / Math.min(mostParts(whole), endpoints.size());
 		return (budgetMillis(request, nowMillis) > fastest) ? List.of()
-				: together(request, fastest(candidates, whole, nowMillis));
+				: placeLate(request, candidates, whole, nowMillis);
 	}
 
 	@Override
@@ -67,7 +74,8 @@
 		if (request.promptTokens() == 0) {
 			return alone(request, leastRunning(candidates));
 		}
-		return isLongOnEngines(request, candidates) ? placeLong(request, candidates, nowMillis)
+		return isLongOnEngines(request, candidates)
+				? placeLong(request, candidates, budgetMillis(request, nowMillis), nowMillis)
 				: placeShort(request, candidates, nowMillis);
 	}
 
@@ -121,10 +129,17 @@
 	}
 
 	private static List<Share> placeShort(GrantRequest request, List<EndpointLedger> candidates, long nowMillis) {
+		List<EndpointLedger> calm = candidates.stream()
+			.filter((ledger) -> !ledger.hasLongPrefill()
+					&& !ledger.wouldPause(ledger.prefillMillis(request.promptTokens()), PAUSE_SHARE))
+			.toList();
+		if (calm.isEmpty()) {
+			return List.of();
+		}
 		EndpointLedger packed = null;
-		for (EndpointLedger ledger : candidates) {
+		for (EndpointLedger ledger : calm) {
 			boolean isRoomy = ledger.running() < PACKED_SHARE * ledger.report().slots();
-			boolean isPrompt = ledger.backlogMillis(nowMillis) <= SHORT_BACKLOG_MILLIS && !ledger.hasLongPrefill();
+			boolean isPrompt = ledger.backlogMillis(nowMillis) <= SHORT_BACKLOG_MILLIS;
 			if (isRoomy && isPrompt && (packed == null || ledger.running() > packed.running())) {
 				packed = ledger;
 			}
@@ -132,10 +147,9 @@
 		if (packed != null) {
 			return alone(request, packed);
 		}
-		EndpointLedger soonest = soonest(candidates, nowMillis);
+		EndpointLedger soonest = soonest(calm, nowMillis);
 		double delay = soonest.backlogMillis(nowMillis) + soonest.prefillMillis(request.promptTokens());
-		boolean isInTime = delay <= budgetMillis(request, nowMillis) && !soonest.hasLongPrefill();
-		return isInTime ? alone(request, soonest) : List.of();
+		return (delay <= budgetMillis(request, nowMillis)) ? alone(request, soonest) : List.of();
 	}
 
 	private static EndpointLedger soonest(List<EndpointLedger> candidates, long nowMillis) {
@@ -145,9 +159,9 @@
 			.orElseThrow();
 	}
 
-	private static List<Share> placeLong(GrantRequest request, List<EndpointLedger> candidates, long nowMillis) {
+	private static List<Share> placeLong(GrantRequest request, List<EndpointLedger> candidates, double budget,
+			long nowMillis) {
 		double whole = candidates.get(0).prefillMillis(request.promptTokens());
-		double budget = budgetMillis(request, nowMillis);
 		for (int parts = 1; parts <= Math.min(mostParts(whole), candidates.size()); parts++) {
 			List<EndpointLedger> chosen = undisturbed(candidates, whole / parts, budget, nowMillis);
 			if (chosen.size() >= parts) {
@@ -157,8 +171,41 @@
 		return List.of();
 	}
 
+	// A prompt that is late anyway delays other answers, and as few as possible, only
+	// after it has waited for an endpoint without any.
+	private static List<Share> placeLate(GrantRequest request, List<EndpointLedger> candidates, double whole,
+			long nowMillis) {
+		AnswerPace pace = request.pace();
+		double left = pace.latestMillis() - nowMillis;
+		List<Share> calm = placeLong(request, candidates, left * LATE_SHARE, nowMillis);
+		if (!calm.isEmpty()) {
+			return calm;
+		}
+		double calmUntil = pace.targetMillis() + (pace.latestMillis() - pace.targetMillis()) * CALM_SHARE;
+		return (nowMillis < calmUntil) ? List.of()
+				: together(request, leastDisturbing(candidates, whole, left, nowMillis));
+	}
+
+	// Chooses as few endpoints as end before the caller leaves, those with the fewest
+	// answers; all if none do.
+	private static List<EndpointLedger> leastDisturbing(List<EndpointLedger> candidates, double whole, double left,
+			long nowMillis) {
+		List<EndpointLedger> ordered = new ArrayList<>(candidates);
+		ordered.sort(Comparator.comparingInt(EndpointLedger::running)
+			.thenComparingDouble((ledger) -> ledger.backlogMillis(nowMillis)));
+		int most = Math.min(mostParts(whole), ordered.size());
+		for (int parts = 1; parts < most; parts++) {
+			double part = whole / parts;
+			List<EndpointLedger> chosen = ordered.subList(0, parts);
+			if (chosen.stream().allMatch((ledger) -> ledger.backlogMillis(nowMillis) + part <= left * LATE_SHARE)) {
+				return chosen;
+			}
+		}
+		return ordered.subList(0, most);
+	}
+
 	private static int mostParts(double whole) {
-		return (int) Math.max(1, Math.min(MOST_PARTS, whole / SMALLEST_PART_MILLIS));
+		return (int) Math.max(1, Math.min(PartsWanted.LARGEST_COUNT, whole / SMALLEST_PART_MILLIS));
 	}
 
 	// Finds the endpoints that read a part in time without delaying other answers.
@@ -167,7 +214,7 @@
 		List<EndpointLedger> chosen = new ArrayList<>();
 		for (EndpointLedger ledger : candidates) {
 			boolean isInTime = ledger.backlogMillis(nowMillis) + partMillis <= budget;
-			if (isInTime && partMillis <= ledger.shortestPauseMillis() * PAUSE_SHARE - ledger.passMillis()) {
+			if (isInTime && !ledger.wouldPause(partMillis, PAUSE_SHARE)) {
 				chosen.add(ledger);
 			}
 		}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointLedger.java
@@ -158,11 +158,23 @@
 		return this.reading.millis(nowMillis);
 	}
 
+	/**
+	 * Says whether reading one more prompt would pause an answer on the endpoint for too
+	 * long. All that is unread may be read in one pass, between two events of the
+	 * answers.
+	 * @param partMillis the time for the prompt in milliseconds
+	 * @param pauseShare the part of the shortest pause that may be used
+	 * @return false if there is no answer or the pause stays short enough
+	 */
+	public boolean wouldPause(double partMillis, double pauseShare) {
+		return this.reading.unreadMillis() + partMillis + passMillis() > shortestPauseMillis() * pauseShare;
+	}
+
 	/**
 	 * Returns the shortest pause that an answer on the endpoint may have.
 	 * @return milliseconds, {@link AnswerPace#ANY_PAUSE} if there is no answer
 	 */
-	public double shortestPauseMillis() {
+	private double shortestPauseMillis() {
 		double shortest = AnswerPace.ANY_PAUSE;
 		for (Hold hold : this.holds.values()) {
 			shortest = Math.min(shortest, hold.request().pace().pauseMillis());
@@ -174,7 +186,7 @@
 	 * Estimates the time of a pass that reads nothing.
 	 * @return milliseconds
 	 */
-	public double passMillis() {
+	private double passMillis() {
 		EngineModel engine = this.report.engine();
 		return (engine != null) ? engine.passMillis(running(), this.reservedKvTokens) : 0;
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantQueue.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantQueue.java
@@ -13,11 +13,16 @@
 /**
  * Requests that wait for an endpoint, in the order in which they may leave.
  * <p>
- * Within a class the earliest deadline goes first, or the earliest arrival if the queue
- * is not classed. This class is not thread-safe; its home's lock guards it.
+ * Within a class the requests that can still start in time go before those that are late
+ * anyway, and then the earliest deadline goes first; if the queue is not classed, the
+ * earliest arrival does. So under overload some answers are late and not all. This class
+ * is not thread-safe; its home's lock guards it.
  */
 final class GrantQueue {
 
+	/** An engine takes about a pass and the reading of a short prompt to start. */
+	private static final long START_MILLIS = 100;
+
 	private static final Comparator<Waiting> BY_DEADLINE = Comparator
 		.comparingLong((Waiting waiting) -> waiting.request().deadlineMillis())
 		.thenComparingLong(Waiting::sequence);
@@ -70,18 +75,47 @@
 
 	/**
 	 * Returns the waiting requests of both classes, short prompts first.
+	 * @param nowMillis the time in milliseconds
 	 * @return one list per class, each in order
 	 */
-	List<List<Waiting>> lines() {
-		return List.of(new ArrayList<>(this.shorts), new ArrayList<>(this.longs));
+	List<List<Waiting>> lines(long nowMillis) {
+		return List.of(inOrder(this.shorts, nowMillis), inOrder(this.longs, nowMillis));
+	}
+
+	private List<Waiting> inOrder(TreeSet<Waiting> line, long nowMillis) {
+		if (!this.isClassed) {
+			return new ArrayList<>(line);
+		}
+		List<Waiting> ordered = new ArrayList<>(line.size());
+		List<Waiting> late = new ArrayList<>();
+		for (Waiting waiting : line) {
+			(startsInTime(waiting.request(), nowMillis) ? ordered : late).add(waiting);
+		}
+		ordered.addAll(late);
+		return ordered;
+	}
+
+	private static boolean startsInTime(GrantRequest request, long nowMillis) {
+		return nowMillis + START_MILLIS <= request.pace().targetMillis();
 	}
 
 	List<Waiting> all() {
 		return new ArrayList<>(this.byKey.values());
 	}
 
-	boolean isLineEmpty(GrantRequest request) {
-		return line(request).isEmpty();
+	/**
+	 * Says whether a request that has just come is the first of its class.
+	 * @param request the request
+	 * @param nowMillis the time in milliseconds
+	 * @return true if all that wait in its class are late anyway and it is not
+	 */
+	boolean isFirst(GrantRequest request, long nowMillis) {
+		TreeSet<Waiting> line = line(request);
+		if (line.isEmpty()) {
+			return true;
+		}
+		return this.isClassed && startsInTime(request, nowMillis)
+				&& line.stream().noneMatch((waiting) -> startsInTime(waiting.request(), nowMillis));
 	}
 
 	int size() {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ReadingBacklog.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ReadingBacklog.java
@@ -32,14 +32,23 @@
 		this.partMillis.remove(key);
 	}
 
+	/**
+	 * Returns the time for all prompts that have not certainly been read. An engine
+	 * begins a prompt only with its next pass, so what was given to it a moment ago is
+	 * still ahead as a whole.
+	 * @return milliseconds
+	 */
+	double unreadMillis() {
+		return this.partMillis.values().stream().mapToDouble(Double::doubleValue).sum();
+	}
+
 	/**
 	 * Estimates when everything will have been read.
 	 * @param nowMillis the time in milliseconds
 	 * @return milliseconds from now, 0 if nothing is being read
 	 */
 	double millis(long nowMillis) {
-		double parts = this.partMillis.values().stream().mapToDouble(Double::doubleValue).sum();
-		return Math.max(0, parts - Math.max(0, nowMillis - this.progressMillis));
+		return Math.max(0, unreadMillis() - Math.max(0, nowMillis - this.progressMillis));
 	}
 
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -113,7 +113,7 @@
 		if (refusal != null) {
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
 		}
-		Grant grant = this.queue.isLineEmpty(request) ? tryGrant(holder, request, mayWait, nowMillis) : null;
+		Grant grant = this.queue.isFirst(request, nowMillis) ? tryGrant(holder, request, mayWait, nowMillis) : null;
 		if (grant != null) {
 			return new GrantDecision.Granted(grant);
 		}
@@ -302,7 +302,7 @@
 			return List.of();
 		}
 		List<HomeDecision> decisions = new ArrayList<>();
-		for (List<GrantQueue.Waiting> line : this.queue.lines()) {
+		for (List<GrantQueue.Waiting> line : this.queue.lines(nowMillis)) {
 			pumpLine(line, nowMillis, decisions);
 		}
 		return decisions;
--- a/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
@@ -62,10 +62,9 @@
 	 * @return the request
 	 */
 	public GrantRequest withPartsFrom(String home, int most) {
-		PartsWanted wanted = new PartsWanted(most, this.parts.partMillis(), this.parts.partKvTokens());
 		return new GrantRequest(this.requestId + "." + home, this.attempt, this.team, this.model, this.promptTokens,
 				this.answerTokens, this.prefixHash, this.deadlineMillis, this.isIsolated, this.excluded, this.pace,
-				wanted);
+				this.parts.withMost(most));
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/version/PrefillPlan.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/PrefillPlan.java
@@ -17,8 +17,11 @@
  */
 public record PrefillPlan(long promptTokens, long answerTokens, double wholeMillis, long engineKvTokens) {
 
-	/** The most engines that read one prompt: the first one and 16 helpers. */
-	private static final int MOST_PARTS = 17;
+	/**
+	 * Idle engines up to this many times the fewest are used, so that a prompt is read
+	 * sooner and some stay idle for others.
+	 */
+	private static final int SPARE_RATIO = 2;
 
 	/** Part of an engine's memory that other requests usually leave free. */
 	private static final double FREE_SHARE = 0.9;
@@ -84,11 +87,13 @@
 		}
 		int forTime = (int) Math.ceil(this.wholeMillis / budgetMillis);
 		int forMemory = (int) Math.ceil((this.promptTokens + this.answerTokens) / (this.engineKvTokens * FREE_SHARE));
-		int most = Math.max(2, Math.max(forTime, forMemory));
-		if (most > MOST_PARTS) {
+		int fewest = Math.max(2, Math.max(forTime, forMemory));
+		if (fewest > PartsWanted.LARGEST_COUNT) {
 			return null;
 		}
-		return new PartsWanted(most, this.wholeMillis / most, this.promptTokens / most + 1 + this.answerTokens);
+		int most = Math.min(PartsWanted.LARGEST_COUNT, SPARE_RATIO * fewest);
+		return new PartsWanted(fewest, most, this.wholeMillis / fewest,
+				this.promptTokens / fewest + 1 + this.answerTokens);
 	}
 
 }
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/CostPlacementTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/CostPlacementTests.java
@@ -123,6 +123,45 @@
 			}
 		}
 
+		@Test
+		public void partsOfTwoLongPromptsDoNotAddUpToAPause() {
+			ShardHome home = home(1);
+			Grant answer = granted(home.request(HOLDER, request("s", 4_960, 0), 0));
+			home.firstToken(answer.key(), 60);
+			GrantRequest first = parts("p1", 110, 100);
+			GrantRequest second = parts("p2", 110, 105);
+			granted(home.request(HOLDER, first, 100));
+			GrantDecision decision = home.request(HOLDER, second, 105);
+			Assert.assertTrue(decision instanceof GrantDecision.Refused,
+					"two parts of 110 ms pause an answer that may pause for " + SHORT_PAUSE + " ms: " + decision);
+		}
+
+		@Test
+		public void aPromptGivenAMomentAgoIsStillUnread() {
+			ShardHome home = home(1);
+			Grant answer = granted(home.request(HOLDER, request("s", 4_960, 0), 0));
+			home.firstToken(answer.key(), 60);
+			granted(home.request(HOLDER, request("t", 4_960, 100), 100));
+			GrantDecision decision = home.request(HOLDER, parts("p", 150, 135), 135);
+			Assert.assertTrue(decision instanceof GrantDecision.Refused,
+					"the engine reads both in its next pass: " + decision);
+		}
+
+		@Test
+		public void aPromptOfMediumLengthDoesNotPauseAnswers() {
+			ShardHome home = home(2);
+			Grant answer = granted(home.request(HOLDER, request("s", 4_960, 0), 0));
+			home.firstToken(answer.key(), 60);
+			Grant medium = granted(home.request(HOLDER, request("m", 23_800, 100), 100));
+			Assert.assertNotEquals(medium.answering(), answer.answering());
+		}
+
+		private static GrantRequest parts(String id, double partMillis, long nowMillis) {
+			GrantRequest plain = request(id, 45_000, nowMillis);
+			return new GrantRequest(id, 1, TEAM, "model", plain.promptTokens(), 1_300, 0, plain.deadlineMillis(), false,
+					Set.of(), plain.pace(), new PartsWanted(1, 1, partMillis, 10_000));
+		}
+
 		@Test
 		public void helpersAreFreeAgainAfterTheFirstToken() {
 			ShardHome home = home(ENGINES);
@@ -137,6 +176,107 @@
 
 	}
 
+	/**
+	 * Pattern: a zone is out, so that long prompts wait beside the answers of short ones.
+	 */
+	public static class TooFewEngines {
+
+		private static ShardHome homeThatWrites() {
+			ShardHome home = home(1);
+			Grant answer = granted(home.request(HOLDER, request("s", 4_960, 0), 0));
+			home.firstToken(answer.key(), 60);
+			return home;
+		}
+
+		@Test
+		public void aLongPromptThatIsLateAnywayDoesNotPauseAnswers() {
+			ShardHome home = homeThatWrites();
+			home.request(HOLDER, request("l", 182_000, 100), 100);
+			Assert.assertTrue(home.tick(100 + LONG_TARGET + 500).isEmpty(), "an answer is paused for a late prompt");
+			Assert.assertFalse(home.release(Grant.key("s", 1), 3_700).isEmpty(), "an engine is idle");
+		}
+
+		@Test
+		public void itDoesSoBeforeItsCallerLeaves() {
+			ShardHome home = homeThatWrites();
+			home.request(HOLDER, request("l", 182_000, 100), 100);
+			Assert.assertFalse(home.tick(100 + 4 * LONG_TARGET - 4_500).isEmpty(), "the caller waits in vain");
+		}
+
+		@Test
+		public void itPausesAsFewAnswersAsPossible() {
+			ShardHome home = home(4);
+			long now = 0;
+			for (int i = 0; i < 4 * SLOTS - 4; i++) {
+				now += 50;
+				Grant answer = granted(home.request(HOLDER, request("s" + i, 4_960, now), now));
+				home.firstToken(answer.key(), now + 40);
+			}
+			home.request(HOLDER, request("l", 182_000, now), now);
+			List<HomeDecision> decisions = home.tick(now + 4 * LONG_TARGET - 6_500);
+			Assert.assertEquals(decisions.size(), 1);
+			Grant late = ((GrantDecision.Granted) decisions.get(0).decision()).grant();
+			Assert.assertEquals(late.shares().size(), 1, "answers on all of them pause: " + late.shares());
+		}
+
+	}
+
+	/**
+	 * Pattern: more short prompts than the endpoints that are left can answer.
+	 */
+	public static class Overload {
+
+		/**
+		 * What the endpoints can do; the rest is wasted by an order that makes all late.
+		 */
+		private static final double IN_TIME_SHARE_OF_CAPACITY = 0.8;
+
+		private static final long ANSWER_MILLIS = 1_900;
+
+		private static final long ARRIVAL_MILLIS = 70;
+
+		@Test
+		public void thoseThatCanStartInTimeGoFirst() {
+			ShardHome home = home(2);
+			double capacityPerMilli = 2.0 * SLOTS / ANSWER_MILLIS;
+			TreeMap<Long, List<Runnable>> events = new TreeMap<>();
+			int[] inTime = new int[1];
+			long end = 30_000;
+			for (long now = 0; now < end; now += 10) {
+				if (now % ARRIVAL_MILLIS == 0) {
+					GrantRequest request = request("s" + now, 4_960, now);
+					started(home, home.request(HOLDER, request, now), now, events, inTime);
+				}
+				List<Runnable> due = new ArrayList<>();
+				events.headMap(now, true).values().forEach(due::addAll);
+				events.headMap(now, true).clear();
+				due.forEach(Runnable::run);
+				for (HomeDecision decision : home.tick(now)) {
+					started(home, decision.decision(), now, events, inTime);
+				}
+			}
+			double possible = Math.min(1.0 / ARRIVAL_MILLIS, capacityPerMilli) * end;
+			Assert.assertTrue(inTime[0] >= IN_TIME_SHARE_OF_CAPACITY * possible,
+					inTime[0] + " in time, " + (long) possible + " possible");
+		}
+
+		private static void started(ShardHome home, GrantDecision decision, long now,
+				TreeMap<Long, List<Runnable>> events, int[] inTime) {
+			if (!(decision instanceof GrantDecision.Granted given)) {
+				return;
+			}
+			GrantRequest request = given.grant().request();
+			inTime[0] += (now + 100 <= request.pace().targetMillis()) ? 1 : 0;
+			events.computeIfAbsent(now + 100, (key) -> new ArrayList<>())
+				.add(() -> home.firstToken(request.key(), now + 100)
+					.forEach((next) -> started(home, next.decision(), now + 100, events, inTime)));
+			events.computeIfAbsent(now + ANSWER_MILLIS, (key) -> new ArrayList<>())
+				.add(() -> home.release(request.key(), now + ANSWER_MILLIS)
+					.forEach((next) -> started(home, next.decision(), now + ANSWER_MILLIS, events, inTime)));
+		}
+
+	}
+
 	/**
 	 * Pattern: the load swings between long and short prompts within ten seconds.
 	 */
@@ -273,7 +413,7 @@
 		private static GrantRequest parts(String id, int most) {
 			GrantRequest plain = request(id, 486_454, 0);
 			return new GrantRequest(id, 1, TEAM, "model", plain.promptTokens(), 1_300, 0, plain.deadlineMillis(), false,
-					Set.of(), plain.pace(), new PartsWanted(most, 2_500, 55_000));
+					Set.of(), plain.pace(), new PartsWanted(1, most, 2_500, 55_000));
 		}
 
 		@Test
--- a/poplarloom-core/src/test/java/org/poplarloom/core/version/PrefillPlanTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/version/PrefillPlanTests.java
@@ -34,7 +34,7 @@
 			PartsWanted wanted = plan(tokens).inTime(TARGET_MILLIS);
 			if (wanted != null) {
 				Assert.assertTrue(wanted.partMillis() <= TARGET_MILLIS, tokens + " tokens take " + wanted);
-				Assert.assertTrue(wanted.most() <= 17, tokens + " tokens need " + wanted);
+				Assert.assertTrue(wanted.most() <= PartsWanted.LARGEST_COUNT, tokens + " tokens need " + wanted);
 			}
 		}
 	}
@@ -44,7 +44,7 @@
 		for (long tokens = 40_000; tokens < 700_000; tokens += 20_000) {
 			PartsWanted wanted = plan(tokens).inTime(TARGET_MILLIS);
 			if (wanted != null) {
-				Assert.assertTrue(wanted.partKvTokens() * wanted.most() >= tokens, tokens + " tokens in " + wanted);
+				Assert.assertTrue(wanted.partKvTokens() * wanted.fewest() >= tokens, tokens + " tokens in " + wanted);
 				Assert.assertTrue(wanted.partKvTokens() <= MODEL.kvTokens(), tokens + " tokens in " + wanted);
 			}
 		}
@@ -54,7 +54,7 @@
 	public void aPromptBeyondOneEnginesMemoryIsDivided() {
 		Assert.assertFalse(plan(300_000).isTooLargeForOne());
 		Assert.assertTrue(plan(434_037).isTooLargeForOne());
-		Assert.assertTrue(plan(434_037).late(PATIENCE_MILLIS).most() >= 2);
+		Assert.assertTrue(plan(434_037).late(PATIENCE_MILLIS).fewest() >= 2);
 	}
 
 	@Test
@@ -63,6 +63,13 @@
 		Assert.assertNull(plan(868_848).late(PATIENCE_MILLIS));
 	}
 
+	@Test
+	public void idleEnginesBeyondTheFewestAreUsed() {
+		PartsWanted wanted = plan(486_454).inTime(TARGET_MILLIS);
+		Assert.assertTrue(wanted.most() > wanted.fewest(), wanted.toString());
+		Assert.assertTrue(wanted.most() <= PartsWanted.LARGEST_COUNT, wanted.toString());
+	}
+
 	@Test
 	public void nothingIsPlannedWithoutTime() {
 		Assert.assertNull(plan(200_000).inTime(0));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -39,6 +39,8 @@
 
 	private static final int MOST_SHARDS = 1_000;
 
+	private static final int MOST_RAMP_REQUESTS = 1_000;
+
 	private final Findings findings;
 
 	public SettingsReader(Findings findings) {
@@ -63,9 +65,7 @@
 		int shards = (int) number("--shards-per-zone", options.shardsPerZone(), 1, MOST_SHARDS);
 		long failure = millis("--failure-timeout-ms", options.failureTimeoutMillis());
 		long settle = millis("--settle-ms", options.settleMillis());
-		int floor = (int) number("--ramp-floor", options.rampFloor(), 1, MOST_SHARDS);
-		long hold = millis("--ramp-hold-ms", options.rampHoldMillis());
-		long step = millis("--ramp-step-ms", options.rampStepMillis());
+		ColdStartRamp.Settings ramp = ramp(options);
 		long budget = number("--body-budget-bytes", options.bodyBudgetBytes(), 1, MOST_BYTES);
 		long drain = millis("--drain-ms", options.drainMillis());
 		OwnerKey ownerKey = ownerKey(options.owner(), environment.getOrDefault(OWNER_KEY, ""));
@@ -76,8 +76,7 @@
 			return null;
 		}
 		return new Settings(instance, zone, options.host(), httpPort, peerPort, logAddress, listAddress, peerKey,
-				operatorToken, shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), budget, drain,
-				ownerKey, options.traceExport());
+				operatorToken, shards, failure, settle, ramp, budget, drain, ownerKey, options.traceExport());
 	}
 
 	/**
@@ -95,15 +94,20 @@
 		int shards = (int) number("--shards-per-zone", options.shardsPerZone(), 1, MOST_SHARDS);
 		long failure = millis("--failure-timeout-ms", options.failureTimeoutMillis());
 		long settle = millis("--settle-ms", options.settleMillis());
-		int floor = (int) number("--ramp-floor", options.rampFloor(), 1, MOST_SHARDS);
-		long hold = millis("--ramp-hold-ms", options.rampHoldMillis());
-		long step = millis("--ramp-step-ms", options.rampStepMillis());
+		ColdStartRamp.Settings ramp = ramp(options);
 		if (!this.findings.isEmpty()) {
 			return null;
 		}
 		return new Settings(instance, zone, platform.host(), metricsPort, platform.peerPort(), platform.storeAddress(),
-				"", peerKey, "", shards, failure, settle, new ColdStartRamp.Settings(floor, hold, step), 0,
-				platform.graceMillis(), OwnerKey.none(), options.traceExport());
+				"", peerKey, "", shards, failure, settle, ramp, 0, platform.graceMillis(), OwnerKey.none(),
+				options.traceExport());
+	}
+
+	private ColdStartRamp.Settings ramp(Options options) {
+		int floor = (int) number("--ramp-floor", options.rampFloor(), 1, MOST_RAMP_REQUESTS);
+		long hold = millis("--ramp-hold-ms", options.rampHoldMillis());
+		long step = millis("--ramp-step-ms", options.rampStepMillis());
+		return new ColdStartRamp.Settings(floor, hold, step);
 	}
 
 	private <T> T identifier(String flag, String value, Function<String, T> parser) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptPlace.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptPlace.java
@@ -24,13 +24,11 @@
 
 	private final Part answering;
 
-	private AttemptPlace(GrantClient grants, List<HeldGrant> held, HeldGrant answering) {
+	private AttemptPlace(GrantClient grants, List<HeldGrant> held) {
 		this.grants = grants;
 		this.held = held;
-		List<Part> own = parts(answering);
-		this.answering = own.remove(own.size() - 1);
-		this.helpers.addAll(own);
-		held.stream().filter((grant) -> grant != answering).forEach((grant) -> this.helpers.addAll(parts(grant)));
+		held.forEach((grant) -> this.helpers.addAll(parts(grant)));
+		this.answering = this.helpers.remove(held.get(0).grant().shares().size() - 1);
 	}
 
 	/**
@@ -40,17 +38,22 @@
 	 * @return the place
 	 */
 	static AttemptPlace of(GrantClient grants, HeldGrant held) {
-		return new AttemptPlace(grants, List.of(held), held);
+		return new AttemptPlace(grants, List.of(held));
 	}
 
 	/**
 	 * Returns the place that several homes granted together.
 	 * @param grants takes the grants back
 	 * @param held the grants; an endpoint of the first one answers
+	 * @param promptTokens the length of the prompt, of which each helper holds an equal
+	 * part
 	 * @return the place
 	 */
-	static AttemptPlace of(GrantClient grants, List<HeldGrant> held) {
-		return new AttemptPlace(grants, List.copyOf(held), held.get(0));
+	static AttemptPlace of(GrantClient grants, List<HeldGrant> held, long promptTokens) {
+		AttemptPlace place = new AttemptPlace(grants, List.copyOf(held));
+		long partTokens = promptTokens / (place.helpers.size() + 1) + 1;
+		place.helpers.replaceAll((part) -> part.withKvTokens(partTokens));
+		return place;
 	}
 
 	private static List<Part> parts(HeldGrant grant) {
@@ -109,6 +112,10 @@
 	 * @param kvTokens the memory that it sets aside, 0 if none
 	 */
 	record Part(EndpointId endpoint, String address, String lifetime, long kvTokens) {
+
+		Part withKvTokens(long tokens) {
+			return new Part(this.endpoint, this.address, this.lifetime, tokens);
+		}
 	}
 
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.slf4j.Logger;
@@ -25,16 +26,20 @@
 /**
  * The search for endpoints for one attempt of a request.
  * <p>
- * A short prompt goes to the home that starts it soonest. A long one is first tried at
- * every home, then read in parts on idle endpoints of all homes; if there are too few,
- * one that fits an endpoint waits, and a longer one is read late by fewer endpoints. The
- * search ends once, with a place or a failure, and what it is given after it was
- * cancelled is given back. This class is not thread-safe; the event loop guards it.
+ * A short prompt goes to the home that starts it soonest. A long one is tried at every
+ * home and then in parts on idle endpoints of all homes, again and again until it cannot
+ * start in time any more. Then one that fits an endpoint queues, and a longer one is read
+ * late by fewer endpoints. The search ends once, with a place or a failure, and what it
+ * is given after it was cancelled is given back. This class is not thread-safe; the event
+ * loop guards it.
  */
 final class GrantSearch {
 
 	private static final Logger logger = LoggerFactory.getLogger(GrantSearch.class);
 
+	/** Endpoints become idle every few dozen milliseconds under load. */
+	private static final long RETRY_MILLIS = 80;
+
 	private final RelayService service;
 
 	private final Wanted wanted;
@@ -45,7 +50,7 @@
 
 	private int questions;
 
-	private boolean lateTried;
+	private boolean late;
 
 	private boolean cancelled;
 
@@ -61,16 +66,20 @@
 
 	void start() {
 		if (this.wanted.plan() == null) {
-			ask(grants().acquire(question(null), ""), this::fail);
+			queue();
 		}
 		else if (this.wanted.plan().isTooLargeForOne()) {
-			collectParts(this.wanted.plan().inTime(remainingTargetMillis()));
+			collectParts();
 		}
 		else {
 			ask(grants().acquirePromptly(question(null)), this::notPrompt);
 		}
 	}
 
+	private void queue() {
+		ask(grants().acquire(question(null), ""), this::fail);
+	}
+
 	void cancel() {
 		this.cancelled = true;
 		if (this.asking != null) {
@@ -111,48 +120,56 @@
 			fail(failure);
 			return;
 		}
-		collectParts(this.wanted.plan().inTime(remainingTargetMillis()));
+		collectParts();
 	}
 
-	// Not disposed of when cancelled, as the grants collected so far would be lost.
-	private void collectParts(PartsWanted parts) {
-		if (parts == null) {
-			partsMissing();
-			return;
+	private void collectParts() {
+		PartsWanted inTime = this.wanted.plan().inTime(remainingTargetMillis());
+		if (inTime != null) {
+			collect(inTime);
+		}
+		else if (this.wanted.plan().isTooLargeForOne()) {
+			collectLate();
 		}
+		else {
+			queue();
+		}
+	}
+
+	private void collectLate() {
+		this.late = true;
+		PartsWanted parts = this.wanted.plan().late(this.wanted.pace().latestMillis() - this.service.nowMillis());
+		if (parts != null) {
+			collect(parts);
+		}
+		else {
+			fail(new PoplarloomException(ErrorCode.NO_ENDPOINT, "too few endpoints are idle for so long a prompt"));
+		}
+	}
+
+	// Not disposed of when cancelled, as the grants collected so far would be lost.
+	private void collect(PartsWanted parts) {
 		grants().acquireParts(question(parts))
-			.subscribe((held) -> this.service.loop().execute(() -> partsCollected(parts, held)),
+			.subscribe((held) -> this.service.loop().execute(() -> collected(parts, held)),
 					(failure) -> this.service.loop().execute(() -> fail(failure)));
 	}
 
-	private void partsCollected(PartsWanted parts, List<HeldGrant> held) {
+	private void collected(PartsWanted parts, List<HeldGrant> held) {
 		int got = held.stream().mapToInt((grant) -> grant.grant().shares().size()).sum();
-		logger.info("request={} event=parts wanted={} part_ms={} part_tokens={} got={} homes={}",
-				this.wanted.request().id(), parts.most(), (long) parts.partMillis(), parts.partKvTokens(), got,
-				held.size());
-		if (!this.cancelled && got >= parts.most()) {
-			this.found.accept(AttemptPlace.of(grants(), held));
+		if (!this.cancelled && got >= parts.fewest()) {
+			logger.info("request={} event=parts fewest={} most={} part_ms={} late={} questions={} got={} homes={}",
+					this.wanted.request().id(), parts.fewest(), parts.most(), (long) parts.partMillis(), this.late,
+					this.questions, got, held.size());
+			this.found.accept(AttemptPlace.of(grants(), held, this.wanted.request().promptTokens()));
 			return;
 		}
 		held.forEach((grant) -> grants().release(grant, null));
-		if (!this.cancelled) {
-			partsMissing();
-		}
+		this.service.loop().schedule(this::tryAgain, RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private void partsMissing() {
-		if (!this.wanted.plan().isTooLargeForOne()) {
-			ask(grants().acquire(question(null), ""), this::fail);
-			return;
-		}
-		long patienceMillis = this.wanted.pace().latestMillis() - this.service.nowMillis();
-		PartsWanted late = this.lateTried ? null : this.wanted.plan().late(patienceMillis);
-		this.lateTried = true;
-		if (late != null) {
-			collectParts(late);
-		}
-		else {
-			fail(new PoplarloomException(ErrorCode.NO_ENDPOINT, "too few endpoints are idle for so long a prompt"));
+	private void tryAgain() {
+		if (!this.cancelled) {
+			start();
 		}
 	}
 
@@ -166,7 +183,7 @@
 	private GrantRequest question(PartsWanted parts) {
 		this.questions++;
 		AnswerPace pace = this.wanted.pace();
-		if (this.lateTried) {
+		if (this.late) {
 			pace = new AnswerPace(pace.latestMillis(), pace.latestMillis(), pace.pauseMillis());
 		}
 		RelayRequest request = this.wanted.request();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -82,6 +82,10 @@
 
 	private long firstMillis = NO_TIME;
 
+	private long lastWriteMillis = NO_TIME;
+
+	private long longestPauseMillis;
+
 	private int parts;
 
 	private long lastEventId;
@@ -269,9 +273,18 @@
 			this.lastEventId = event.id();
 		}
 		begin(head);
+		notePause();
 		this.reply.write(event.bytes());
 	}
 
+	private void notePause() {
+		long now = this.service.nowMillis();
+		if (this.lastWriteMillis != NO_TIME) {
+			this.longestPauseMillis = Math.max(this.longestPauseMillis, now - this.lastWriteMillis);
+		}
+		this.lastWriteMillis = now;
+	}
+
 	private void begin(HttpResponse head) {
 		if (!this.begun) {
 			this.begun = true;
@@ -303,10 +316,10 @@
 		this.service.metrics().ended(outcome, this.request.promptTokens(), this.firstMillis, ageMillis);
 		logger.info(
 				"request={} event=ended outcome={} detail=\"{}\" route={} service={} team={} prompt={} attempts={}"
-						+ " parts={} configuration={} first_ms={} age_ms={}",
+						+ " parts={} configuration={} first_ms={} pause_ms={} age_ms={}",
 				this.request.id(), outcome, detail, (this.route != null) ? this.route.name() : "", this.serviceName,
 				teamId(), this.request.promptTokens(), this.attempts, this.parts, this.version, this.firstMillis,
-				this.service.nowMillis() - this.startedMillis);
+				this.longestPauseMillis, ageMillis);
 	}
 
 	/**
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.testng.Assert;
@@ -77,8 +79,11 @@
 	}
 
 	private void configure(String service, String... states) {
-		this.store.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION,
-				CallerStandIn.configuration(3, "model", "app"));
+		start(CallerStandIn.configuration(3, "model", "app"), service, states);
+	}
+
+	private void start(String configuration, String service, String... states) {
+		this.store.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION, configuration);
 		List<WorkerStandIn> workers = List.of(this.first, this.second);
 		for (int i = 0; i < states.length; i++) {
 			WorkerStandIn worker = workers.get(i);
@@ -344,9 +349,74 @@
 		await(() -> closed[0]);
 	}
 
+	@Test
+	public void aPromptBeyondOneEngineWaitsForIdleEngines() throws IOException {
+		start(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
+		CountDownLatch holding = new CountDownLatch(1);
+		WorkerStandIn.Script script = (request, out) -> {
+			if (request.line().startsWith("POST /order")) {
+				out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+				return;
+			}
+			out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
+			if (request.header("Request-Id").equals("holder")) {
+				awaitRelease(holding);
+			}
+			out.write("0\r\n\r\n");
+		};
+		this.first.answerWith(script);
+		this.second.answerWith(script);
+		await(() -> isStreamed(300_000));
+		try (CallerStandIn holder = new CallerStandIn(this.address);
+				CallerStandIn large = new CallerStandIn(this.address)) {
+			holder.send("POST /stream/a", "holder", "Token-Count: 300000,100\r\n", "{}");
+			Assert.assertTrue(holder.readUntil("piece 1").contains("piece 1"));
+			large.send("POST /stream/b", "large", "Token-Count: 450000,100\r\n", "{}");
+			pause(200);
+			holding.countDown();
+			Assert.assertTrue(holder.readUntil("0\r\n\r\n").endsWith("0\r\n\r\n"));
+			String answer = large.readUntil("0\r\n\r\n");
+			Assert.assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+		}
+		Assert.assertTrue(received().stream()
+			.anyMatch(
+					(request) -> request.header("Request-Id").equals("large") && !request.header("Helpers").isEmpty()),
+				received().toString());
+	}
+
+	private boolean isStreamed(long promptTokens) {
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/probe", "probe", "Connection: close\r\nToken-Count: " + promptTokens + ",100\r\n",
+					"{}");
+			return caller.readAll().startsWith("HTTP/1.1 200");
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private List<WorkerStandIn.Received> received() {
+		List<WorkerStandIn.Received> all = new ArrayList<>(this.first.received());
+		all.addAll(this.second.received());
+		return all;
+	}
+
+	private static void awaitRelease(CountDownLatch latch) {
+		try {
+			Assert.assertTrue(latch.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "the holder was not released");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void pause() {
+		pause(10);
+	}
+
+	private static void pause(long millis) {
 		try {
-			Thread.sleep(10);
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
@@ -145,7 +145,7 @@
 	public void partsAreTakenFromTheNextHomeUntilThereAreEnough() {
 		this.homes.answers.put(SELF, (ask) -> given(ask, Math.min(2, ask.request().parts().most())));
 		this.homes.answers.put(FAR, (ask) -> given(ask, ask.request().parts().most()));
-		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(5, 100, 10))).block();
+		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(5, 5, 100, 10))).block();
 		Assert.assertEquals(held.stream().mapToInt((grant) -> grant.grant().shares().size()).sum(), 5);
 		Assert.assertEquals(held.get(0).home().home(), SELF);
 		held.forEach((grant) -> this.client.release(grant, null));
@@ -155,7 +155,7 @@
 	@Test
 	public void aSilentHomeGivesNoPartsAndIsTold() {
 		this.homes.answers.put(FAR, (ask) -> given(ask, 1));
-		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(3, 100, 10))).block();
+		List<HeldGrant> held = this.client.acquireParts(request(new PartsWanted(3, 3, 100, 10))).block();
 		Assert.assertEquals(held.size(), 1);
 		Assert.assertTrue(this.homes.withdrawn(SELF));
 	}
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -41,7 +41,7 @@
 	private static final ShardId SHARD = new ShardId(AvailabilityZone.of("gijon"), 3);
 
 	private static final GrantRequest REQUEST = new GrantRequest("r", 2, TeamId.of("rota"), "model", 1_000, 50, 77,
-			123_456, true, Set.of(EndpointId.of("e1")), AnswerPace.untilDeadline(99), new PartsWanted(3, 1.5, 9));
+			123_456, true, Set.of(EndpointId.of("e1")), AnswerPace.untilDeadline(99), new PartsWanted(2, 3, 1.5, 9));
 
 	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
 			new FenceNumber(99), 200_000, 30);
