Refuse requests that come too late for a graceful stop

While many instances stop, the balancer still sends new connections. Change: after a third of the grace time new requests are refused with 503 and a short Retry-After; nothing of them is sent, and other instances can take them at once. Test: fails before (the request is admitted), passes after.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -77,6 +77,12 @@
 	/** The balancer asks once a second and takes an instance out after two misses. */
 	private static final long LEAVE_NOTICE_MILLIS = 3_000;
 
+	/**
+	 * Part of the grace time in which new requests are admitted; the rest is for their
+	 * answers.
+	 */
+	private static final double ADMISSION_SHARE = 0.33;
+
 	/** Left of the grace time for the end of the process itself. */
 	private static final long EXIT_MILLIS = 600;
 
@@ -104,6 +110,8 @@
 
 	private final FrontServer front;
 
+	private final RelayService relay;
+
 	private final RelayMetrics metrics;
 
 	private TableFollower workerTable;
@@ -117,12 +125,12 @@
 		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new);
 		HttpExchanger exchanger = new HttpExchanger(this.loop);
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
-		RelayService relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(),
-				this.loop, platform.retryRatio());
-		this.metrics = relay.metrics();
+		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
+				platform.retryRatio());
+		this.metrics = this.relay.metrics();
 		this.metrics.show("connections.opened", exchanger::opened);
 		this.metrics.show("grants.held", () -> (long) this.node.grants().heldCount());
-		this.front = new FrontServer(this.group, new CallerFormat(), relay,
+		this.front = new FrontServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 	}
 
@@ -284,6 +292,8 @@
 		this.stopping = true;
 		long started = System.nanoTime();
 		this.loop.execute(this.front::stopKeepingConnections);
+		this.loop.schedule(this.relay::stopAdmitting, (long) (ADMISSION_SHARE * this.platform.graceMillis()),
+				TimeUnit.MILLISECONDS);
 		this.node.membership().leave();
 		this.node.gossiper().spreadUrgently();
 		while (!isStopped(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started))) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -8,6 +8,7 @@
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.process.CrashRegister;
 import org.poplarloom.core.process.RetryBudget;
@@ -30,6 +31,9 @@
 
 	private static final double PERCENT = 100;
 
+	/** A new connection reaches another instance, which can take the request at once. */
+	private static final long RETRY_ELSEWHERE_MILLIS = 50;
+
 	private final Node node;
 
 	private final RoutingKeeper routing;
@@ -48,6 +52,8 @@
 
 	private final Map<String, RetryBudget> budgets = new HashMap<>();
 
+	private boolean admitting = true;
+
 	/**
 	 * Creates a service.
 	 * @param node the instance
@@ -78,6 +84,7 @@
 	RelayRun start(RelayRequest request, CallerReply reply) {
 		RelayRun run = new RelayRun(this, request, reply);
 		try {
+			requireAdmitting();
 			RoutingTable table = this.routing.table()
 				.orElseThrow(() -> new PoplarloomException(ErrorCode.NOT_READY, "no configuration has been learnt"));
 			Route route = table.route(request.host(), request.path())
@@ -94,6 +101,20 @@
 		}
 	}
 
+	private void requireAdmitting() {
+		if (!this.admitting) {
+			throw new PoplarloomException(ErrorCode.SHUTTING_DOWN, Executed.NO, "the instance is about to stop",
+					RETRY_ELSEWHERE_MILLIS);
+		}
+	}
+
+	/**
+	 * Refuses all requests from now on; those in progress go on.
+	 */
+	public void stopAdmitting() {
+		this.admitting = false;
+	}
+
 	private static Optional<RoutingTable.Team> team(RoutingTable table, Route route, RelayRequest request) {
 		Optional<RoutingTable.Team> team = table.team(request.apiKey());
 		if (team.isEmpty() && table.hasTeams() && !route.isPublic()) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
@@ -56,7 +56,7 @@
 		this.address = "127.0.0.1:" + freePort();
 		int peerPort = freePort();
 		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", this.address,
-				"127.0.0.1:" + freePort(), peerPort, this.store.address(), List.of(), 2_000, 0.2);
+				"127.0.0.1:" + freePort(), peerPort, this.store.address(), List.of(), 3_000, 0.2);
 		this.metricsPort = freePort();
 		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1",
 				this.metricsPort, peerPort, this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1,
@@ -273,6 +273,19 @@
 		}
 	}
 
+	@Test
+	public void aRequestThatComesTooLateForAGracefulStopIsRefused() throws Exception {
+		configure("model", "ready");
+		Thread stop = new Thread(this.daemon::stopGracefully);
+		stop.start();
+		await(() -> exchange("GET /nowhere/x", "late", "").contains("shutting_down"));
+		String refusal = exchange("POST /stream/x", "r2", "prompt");
+		Assert.assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+		Assert.assertTrue(refusal.toLowerCase(Locale.ROOT).contains("retry-after"), refusal);
+		Assert.assertTrue(received().stream().noneMatch((request) -> request.header("Request-Id").equals("r2")));
+		stop.join();
+	}
+
 	@Test
 	public void aTruncatedAnswerIsNeverShownAsWhole() {
 		configure("app", "ready");
