--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -0,0 +1,160 @@
+package org.poplarloom.entry.relay;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.usage.OwnerKey;
+import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.process.RelayDaemon;
+import org.poplarloom.platform.ConfigurationFormat;
+import org.poplarloom.platform.PlatformSettings;
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.standin.CallerStandIn;
+import org.poplarloom.platform.standin.StoreStandIn;
+import org.poplarloom.platform.standin.WorkerStandIn;
+
+/**
+ * One instance between stand-ins of callers, endpoints and the platform's store.
+ * <p>
+ * Each test has an instance of its own. Not thread-safe, apart from what the stand-ins
+ * run.
+ */
+public abstract class RelayFixture {
+
+	private static final long TIMEOUT_MILLIS = 10_000;
+
+	StoreStandIn store;
+
+	WorkerStandIn first;
+
+	WorkerStandIn second;
+
+	RelayDaemon daemon;
+
+	String address;
+
+	int metricsPort;
+
+	@BeforeMethod
+	public void start() throws IOException {
+		this.store = new StoreStandIn();
+		this.first = new WorkerStandIn("i-1");
+		this.second = new WorkerStandIn("i-2");
+		this.address = "127.0.0.1:" + freePort();
+		int peerPort = freePort();
+		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", this.address,
+				"127.0.0.1:" + freePort(), peerPort, this.store.address(), List.of(), 3_000, 0.2);
+		this.metricsPort = freePort();
+		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1",
+				this.metricsPort, peerPort, this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1,
+				new ColdStartRamp.Settings(4, 1, 1), 0, 2_000, OwnerKey.none(), "none");
+		this.daemon = RelayDaemon.start(platform, settings);
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws IOException {
+		this.daemon.close();
+		this.first.close();
+		this.second.close();
+		this.store.close();
+	}
+
+	void configure(String service, String... states) {
+		start(CallerStandIn.configuration(3, "model", "app"), service, states);
+	}
+
+	void start(String configuration, String service, String... states) {
+		this.store.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION, configuration);
+		List<WorkerStandIn> workers = List.of(this.first, this.second);
+		for (int i = 0; i < states.length; i++) {
+			WorkerStandIn worker = workers.get(i);
+			this.store.put(Tables.WORKERS, worker.id(), worker.entry(service, "norte-a", states[i]));
+		}
+		await(() -> exchange("GET /again/probe", "probe", "").startsWith("HTTP/1.1 200")
+				|| !service.equals("app") && exchange("POST /stream/probe", "probe", "").startsWith("HTTP/1.1 200"));
+	}
+
+	static void await(BooleanSupplier condition) {
+		long end = System.currentTimeMillis() + TIMEOUT_MILLIS;
+		while (!condition.getAsBoolean()) {
+			Assert.assertTrue(System.currentTimeMillis() < end, "condition did not become true in time");
+			try {
+				Thread.sleep(20);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+	String exchange(String line, String id, String body) {
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send(line, id, "Connection: close\r\n", body);
+			return caller.readAll();
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
+	long runs(String id) {
+		return received().stream().filter((request) -> request.header("Request-Id").equals(id)).count();
+	}
+
+	String metrics() {
+		try (CallerStandIn caller = new CallerStandIn("127.0.0.1:" + this.metricsPort)) {
+			caller.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+			return caller.readAll();
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
+	List<WorkerStandIn.Received> received() {
+		List<WorkerStandIn.Received> all = new ArrayList<>(this.first.received());
+		all.addAll(this.second.received());
+		return all;
+	}
+
+	static void awaitRelease(CountDownLatch latch) {
+		try {
+			Assert.assertTrue(latch.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "the holder was not released");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	static void pause() {
+		pause(10);
+	}
+
+	static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
@@ -0,0 +1,85 @@
+package org.poplarloom.entry.relay;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+import org.poplarloom.platform.standin.CallerStandIn;
+import org.poplarloom.platform.standin.WorkerStandIn;
+
+/**
+ * Tests of prompts that several endpoints read together.
+ */
+public class RelayLongPromptTests extends RelayFixture {
+
+	@Test
+	public void aPromptBeyondOneEngineWaitsForIdleEngines() throws IOException {
+		start(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
+		CountDownLatch holding = new CountDownLatch(1);
+		WorkerStandIn.Script script = (request, out) -> {
+			if (request.line().startsWith("POST /order")) {
+				out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+				return;
+			}
+			out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
+			if (request.header("Request-Id").equals("holder")) {
+				awaitRelease(holding);
+			}
+			out.write("0\r\n\r\n");
+		};
+		this.first.answerWith(script);
+		this.second.answerWith(script);
+		await(() -> isStreamed(300_000));
+		try (CallerStandIn holder = new CallerStandIn(this.address);
+				CallerStandIn large = new CallerStandIn(this.address)) {
+			holder.send("POST /stream/a", "holder", "Token-Count: 300000,100\r\n", "{}");
+			Assert.assertTrue(holder.readUntil("piece 1").contains("piece 1"));
+			large.send("POST /stream/b", "large", "Token-Count: 450000,100\r\n", "{}");
+			pause(200);
+			holding.countDown();
+			Assert.assertTrue(holder.readUntil("0\r\n\r\n").endsWith("0\r\n\r\n"));
+			String answer = large.readUntil("0\r\n\r\n");
+			Assert.assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+		}
+		Assert.assertTrue(received().stream()
+			.anyMatch(
+					(request) -> request.header("Request-Id").equals("large") && !request.header("Helpers").isEmpty()),
+				received().toString());
+	}
+
+	@Test
+	public void eachHelperSetsAsideMemoryForItsPartOnly() throws IOException {
+		start(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
+		WorkerStandIn.Script script = (request, out) -> {
+			if (request.line().startsWith("POST /order")) {
+				out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+				return;
+			}
+			out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1) + "0\r\n\r\n");
+		};
+		this.first.answerWith(script);
+		this.second.answerWith(script);
+		await(() -> isStreamed(450_000));
+		List<String> reservations = received().stream()
+			.map(WorkerStandIn.Received::body)
+			.filter((body) -> body.contains("reserve"))
+			.toList();
+		Assert.assertFalse(reservations.isEmpty());
+		reservations.forEach((body) -> Assert.assertTrue(body.contains("\"tokens\":225001"), body));
+	}
+
+	private boolean isStreamed(long promptTokens) {
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/probe", "probe", "Connection: close\r\nToken-Count: " + promptTokens + ",100\r\n",
+					"{}");
+			return caller.readAll().startsWith("HTTP/1.1 200");
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStopTests.java
@@ -0,0 +1,72 @@
+package org.poplarloom.entry.relay;
+
+import java.io.IOException;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+import sun.misc.Signal;
+
+import org.poplarloom.entry.process.HangupSignal;
+import org.poplarloom.platform.standin.CallerStandIn;
+
+/**
+ * Tests of signals to an instance that has requests in progress.
+ */
+public class RelayStopTests extends RelayFixture {
+
+	@Test
+	public void aHangupEndsNeitherTheProcessNorARequest() throws IOException {
+		configure("model", "ready");
+		CountDownLatch reloaded = new CountDownLatch(1);
+		HangupSignal.handle(reloaded::countDown);
+		this.first.answerWith((request, out) -> {
+			out.write(out.head(request, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+			out.write(out.event(0));
+			await(() -> reloaded.getCount() == 0);
+			out.write(out.event(1) + "0\r\n\r\n");
+		});
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/x", "r1", "Connection: close\r\n", "prompt");
+			caller.readUntil("piece 0");
+			Signal.raise(new Signal("HUP"));
+			Assert.assertTrue(caller.readAll().contains("piece 1"));
+		}
+	}
+
+	@Test
+	public void aGracefulStopLetsTheAnswerInProgressEnd() throws Exception {
+		configure("model", "ready");
+		this.first.answerWith((request, out) -> {
+			out.write(out.head(request, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+			for (int id = 0; id < 20; id++) {
+				out.write(out.event(id));
+				pause();
+			}
+			out.write("0\r\n\r\n");
+		});
+		try (CallerStandIn caller = new CallerStandIn(this.address)) {
+			caller.send("POST /stream/x", "r1", "", "prompt");
+			caller.readUntil("piece 0");
+			Thread stop = new Thread(this.daemon::stopGracefully);
+			stop.start();
+			Assert.assertTrue(caller.readUntil("\r\n0\r\n\r\n").contains("piece 19"));
+			stop.join();
+		}
+	}
+
+	@Test
+	public void aRequestThatComesTooLateForAGracefulStopIsRefused() throws Exception {
+		configure("model", "ready");
+		Thread stop = new Thread(this.daemon::stopGracefully);
+		stop.start();
+		await(() -> exchange("GET /nowhere/x", "late", "").contains("shutting_down"));
+		String refusal = exchange("POST /stream/x", "r2", "prompt");
+		Assert.assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+		Assert.assertTrue(refusal.toLowerCase(Locale.ROOT).contains("retry-after"), refusal);
+		Assert.assertTrue(received().stream().noneMatch((request) -> request.header("Request-Id").equals("r2")));
+		stop.join();
+	}
+
+}
