Gather what saved logs say of one request: poplarloomctl explain

Cause: from a failed request's id an engineer had to grep several logs and know which lines tell what an instance believed. Change: the operators' client prints the request's lines over all instances in order, with file and line, then what those instances believed from ten seconds before until its end (tables lost and regained, homes, queues, the endpoints that the request met). It reads files only. The daemon is unchanged.

--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
@@ -1,5 +1,6 @@
 package org.poplarloom.ctl;
 
+import java.util.List;
 import java.util.Locale;
 
 import com.beust.jcommander.JCommander;
@@ -71,9 +72,28 @@
 			System.out.println("public key, for --owner-key: " + pair.publicKey());
 			return 0;
 		}
+		if (options.word(0).equals("explain")) {
+			return explain(options);
+		}
 		return execute(options);
 	}
 
+	private static int explain(CtlOptions options) {
+		try {
+			List<String> words = options.words();
+			new ExplainCommand(System.out).run(options.word(1), words.subList(Math.min(2, words.size()), words.size()));
+			return 0;
+		}
+		catch (PoplarloomException ex) {
+			return failed(ex);
+		}
+	}
+
+	private static int failed(PoplarloomException failure) {
+		System.err.println(failure.code().text() + ": " + failure.getMessage());
+		return EXIT_FAILED;
+	}
+
 	private static String variable(String flag) {
 		return VARIABLE_PREFIX + flag.replaceFirst("^-+", "").replace('-', '_').toUpperCase(Locale.ROOT);
 	}
@@ -86,6 +106,7 @@
 				  instance out|in NAME
 				  endpoint list
 				  status
+				  explain REQUEST-ID LOG...       (reads saved logs only)
 				  orders MODEL --model-version VERSION [--adapter NAME] [--role NAME]""");
 	}
 
@@ -95,8 +116,7 @@
 			return 0;
 		}
 		catch (PoplarloomException ex) {
-			System.err.println(ex.code().text() + ": " + ex.getMessage());
-			return EXIT_FAILED;
+			return failed(ex);
 		}
 		catch (HttpClientException ex) {
 			System.err.println("cannot reach " + options.url() + ": " + ex.getMessage());
