Bind test ports in the daemon itself

Change: the daemon binds port 0 of callers, readiness, metrics and peers itself and names the ports that it got; the fixture closes no port any more. Before: 'Address already in use' while other builds took ports.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -123,6 +123,10 @@
 
 	private TableFollower endpointTable;
 
+	private String callerAddress;
+
+	private String metricsAddress;
+
 	private volatile boolean stopping;
 
 	private RelayDaemon(PlatformSettings platform, Settings settings) {
@@ -162,12 +166,11 @@
 		follow(Tables.STATUS, () -> STATUS_TIMING, RelayDaemon::notifyNoPeer, this.entries::updateInstance);
 		publishOwnEntry();
 		this.callerServer.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
-		this.callerServer.listenForCallers(this.platform.callerAddress());
-		if (this.settings.httpPort() > 0) {
-			this.callerServer.listenMetrics(this.settings.host() + ":" + this.settings.httpPort(), this.metrics);
-		}
+		this.callerAddress = this.callerServer.listenForCallers(this.platform.callerAddress());
+		this.metricsAddress = this.callerServer.listenMetrics(this.settings.host() + ":" + this.settings.httpPort(),
+				this.metrics);
 		logger.info("event=started instance={} zone={} callers={} peers={}", this.settings.instance(),
-				this.settings.zone(), this.platform.callerAddress(), peerAddress());
+				this.settings.zone(), this.callerAddress, peerAddress());
 	}
 
 	private TableFollower.Timing endpointTiming() {
@@ -208,6 +211,22 @@
 		return this.node.network().request(chosen, query, PEER_TIMEOUT_MILLIS);
 	}
 
+	/**
+	 * Returns the address at which callers reach this instance.
+	 * @return the host and the port that the socket is bound to
+	 */
+	public String callerAddress() {
+		return this.callerAddress;
+	}
+
+	/**
+	 * Returns the address at which the metrics are served.
+	 * @return the host and the port that the socket is bound to
+	 */
+	public String metricsAddress() {
+		return this.metricsAddress;
+	}
+
 	private String peerAddress() {
 		return this.node.membership().self().address();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
@@ -54,10 +54,10 @@
 
 	/**
 	 * Starts to listen for callers.
-	 * @param address the host and port
-	 * @return the server channel
+	 * @param address the host and port, 0 for any free port
+	 * @return the host and the port that the socket is bound to
 	 */
-	public Channel listenForCallers(String address) {
+	public String listenForCallers(String address) {
 		return bind(address, new ChannelInitializer<SocketChannel>() {
 
 			@Override
@@ -75,12 +75,12 @@
 
 	/**
 	 * Starts to answer readiness checks of the load balancer.
-	 * @param address the host and port
+	 * @param address the host and port, 0 for any free port
 	 * @param readiness supplies the reason why the instance is not ready, empty if it is
 	 * ready
-	 * @return the server channel
+	 * @return the host and the port that the socket is bound to
 	 */
-	public Channel listenReadiness(String address, Supplier<String> readiness) {
+	public String listenReadiness(String address, Supplier<String> readiness) {
 		return listenText(address, () -> {
 			String reason = readiness.get();
 			HttpResponseStatus status = reason.isEmpty() ? HttpResponseStatus.OK
@@ -91,15 +91,15 @@
 
 	/**
 	 * Starts to serve the metrics.
-	 * @param address the host and port
+	 * @param address the host and port, 0 for any free port
 	 * @param metrics the metrics
-	 * @return the server channel
+	 * @return the host and the port that the socket is bound to
 	 */
-	public Channel listenMetrics(String address, RelayMetrics metrics) {
+	public String listenMetrics(String address, RelayMetrics metrics) {
 		return listenText(address, () -> new TextHandler.Text(HttpResponseStatus.OK, metrics.toText()));
 	}
 
-	private Channel listenText(String address, Supplier<TextHandler.Text> text) {
+	private String listenText(String address, Supplier<TextHandler.Text> text) {
 		return bind(address, new ChannelInitializer<SocketChannel>() {
 
 			@Override
@@ -110,11 +110,11 @@
 		});
 	}
 
-	private Channel bind(String address, ChannelInitializer<SocketChannel> initializer) {
+	private String bind(String address, ChannelInitializer<SocketChannel> initializer) {
 		int colon = address.lastIndexOf(':');
-		InetSocketAddress localAddress = new InetSocketAddress(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)));
-		return new ServerBootstrap().group(this.group)
+		String host = address.substring(0, colon);
+		InetSocketAddress localAddress = new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
+		Channel server = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -122,6 +122,7 @@
 			.bind(localAddress)
 			.syncUninterruptibly()
 			.channel();
+		return host + ":" + ((InetSocketAddress) server.localAddress()).getPort();
 	}
 
 	void add(CallerConnection connection) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayDaemonTests.java
@@ -22,6 +22,14 @@
  */
 public class RelayDaemonTests extends RelayFixture {
 
+	@Test
+	public void portZeroBindsAnyFreePortAndNamesIt() {
+		configure("model", "ready");
+		Assert.assertFalse(this.callerAddress.endsWith(":0"), this.callerAddress);
+		Assert.assertFalse(this.daemon.metricsAddress().endsWith(":0"), this.daemon.metricsAddress());
+		Assert.assertTrue(metrics().startsWith("HTTP/1.1 200"));
+	}
+
 	@Test
 	public void requestBeforeTheFirstConfigurationIsRefused() {
 		Assert.assertTrue(exchange("GET /again/x", "r1", "").startsWith("HTTP/1.1 503"));
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -1,7 +1,6 @@
 package org.poplarloom.entry.relay;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -35,6 +34,9 @@
 
 	private static final long TIMEOUT_MILLIS = 10_000;
 
+	/** The daemon binds it itself, so no other process can take the port in between. */
+	private static final String ANY_PORT = "127.0.0.1:0";
+
 	StoreStandIn store;
 
 	WorkerStandIn firstWorker;
@@ -45,28 +47,18 @@
 
 	String callerAddress;
 
-	int metricsPort;
-
 	@BeforeMethod
 	public void start() throws IOException {
 		this.store = new StoreStandIn();
 		this.firstWorker = new WorkerStandIn("i-1");
 		this.secondWorker = new WorkerStandIn("i-2");
-		this.callerAddress = "127.0.0.1:" + freePort();
-		int peerPort = freePort();
-		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", this.callerAddress,
-				"127.0.0.1:" + freePort(), peerPort, this.store.address(), List.of(), 3_000, 0.2);
-		this.metricsPort = freePort();
-		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1",
-				this.metricsPort, peerPort, this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1,
-				new ColdStartRamp.Settings(4, 1, 1), 0, 2_000, OwnerKey.none(), "none");
+		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", ANY_PORT, ANY_PORT, 0,
+				this.store.address(), List.of(), 3_000, 0.2);
+		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
+				this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1, new ColdStartRamp.Settings(4, 1, 1), 0,
+				2_000, OwnerKey.none(), "none");
 		this.daemon = RelayDaemon.start(platform, settings);
-	}
-
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
+		this.callerAddress = this.daemon.callerAddress();
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -121,7 +113,7 @@
 	}
 
 	String metrics() {
-		try (CallerStandIn caller = new CallerStandIn("127.0.0.1:" + this.metricsPort)) {
+		try (CallerStandIn caller = new CallerStandIn(this.daemon.metricsAddress())) {
 			caller.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
 			return caller.readAll();
 		}
