Measure idle relaying daemons; train the class archive on requests

Change: 'poplarloom-bench relay-fleet' starts daemons with the command of deploy/system.toml and measures start, idle and restart.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -8,7 +8,9 @@
 import com.beust.jcommander.JCommander;
 
 import org.poplarloom.bench.capacity.CapacityExperiment;
+import org.poplarloom.bench.capacity.ClassArchive;
 import org.poplarloom.bench.capacity.FleetExperiment;
+import org.poplarloom.bench.capacity.RelayFleetExperiment;
 import org.poplarloom.bench.decision.SlowdownExperiment;
 import org.poplarloom.bench.demo.Demo;
 import org.poplarloom.bench.fleet.LargePromptSoak;
@@ -27,7 +29,7 @@
 
 	private static final Map<String, Function<BenchOptions, Report>> EXPERIMENTS = new TreeMap<>(
 			Map.of("slowdown", Bench::slowdown, "zone", Bench::zone, "capacity", Bench::capacity, "fleet", Bench::fleet,
-					"large-prompts", Bench::largePrompts, "relay", Bench::relay));
+					"relay-fleet", Bench::relayFleet, "large-prompts", Bench::largePrompts, "relay", Bench::relay));
 
 	private static final int[] FLEET_DAEMONS_PER_ZONE = { 3, 9, 27 };
 
@@ -39,7 +41,8 @@
 	/**
 	 * Runs one experiment or the demo. Prints the usage and exits with status 2 if the
 	 * experiment is unknown.
-	 * @param arguments the name of the experiment, or "demo", and the flags
+	 * @param arguments the name of the experiment, "demo" or "class-archive", and the
+	 * flags
 	 */
 	public static void main(String[] arguments) {
 		BenchOptions options = new BenchOptions();
@@ -49,10 +52,14 @@
 			Demo.run();
 			return;
 		}
+		if (options.experiment().equals("class-archive")) {
+			ClassArchive.write();
+			System.exit(0);
+		}
 		Function<BenchOptions, Report> experiment = EXPERIMENTS.get(options.experiment());
 		if (options.isHelp() || experiment == null) {
 			commander.usage();
-			System.out.println("  Experiments: demo, " + String.join(", ", EXPERIMENTS.keySet()));
+			System.out.println("  Experiments: class-archive, demo, " + String.join(", ", EXPERIMENTS.keySet()));
 			System.exit(options.isHelp() ? 0 : EXIT_USAGE);
 		}
 		System.out.println("seed " + options.seed());
@@ -77,6 +84,12 @@
 		return new FleetExperiment(FLEET_DAEMONS_PER_ZONE, Math.min(options.seconds(), MAX_CASE_SECONDS)).run();
 	}
 
+	private static Report relayFleet(BenchOptions options) {
+		return new RelayFleetExperiment(options.daemonsPerZone(), options.endpoints(),
+				Math.min(options.seconds(), MAX_CASE_SECONDS))
+			.run();
+	}
+
 	private static Report largePrompts(BenchOptions options) {
 		return new LargePromptSoak(options.requests(), options.seed()).run();
 	}
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/BenchOptions.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/BenchOptions.java
@@ -30,6 +30,12 @@
 	@Parameter(names = "--requests", description = "Number of requests")
 	private int requests = 500;
 
+	@Parameter(names = "--daemons-per-zone", description = "Number of relaying daemons in each of five zones")
+	private int daemonsPerZone = 19;
+
+	@Parameter(names = "--endpoints", description = "Number of endpoints that the store lists")
+	private int endpoints = 200;
+
 	@Parameter(names = "--output", description = "Directory of the CSV files")
 	private String output = "bench-results";
 
@@ -60,6 +66,14 @@
 		return this.requests;
 	}
 
+	int daemonsPerZone() {
+		return this.daemonsPerZone;
+	}
+
+	int endpoints() {
+		return this.endpoints;
+	}
+
 	String output() {
 		return this.output;
 	}
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/FleetExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/FleetExperiment.java
@@ -228,7 +228,7 @@
 		return (System.nanoTime() - startNanos) / 1e6;
 	}
 
-	private static double rssMegabytes(Process process) {
+	static double rssMegabytes(Process process) {
 		try {
 			return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))
 				.stream()
--- /dev/null
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/RelayProcess.java
@@ -0,0 +1,103 @@
+package org.poplarloom.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.poplarloom.entry.SettingsReader;
+
+/**
+ * One daemon that relays requests, in a process of its own with the command of
+ * {@code deploy/system.toml}. This class is immutable and thread-safe.
+ *
+ * @param process the process
+ * @param log the file with its output
+ */
+record RelayProcess(Process process, Path log) {
+
+	private static final Path DEPLOY_FILE = Path.of("deploy", "system.toml");
+
+	private static final Pattern RUN_COMMAND = Pattern.compile("(?m)^run = \"(.*)\"$");
+
+	private static final int CALLER_PORT = 23_001;
+
+	private static final int READINESS_PORT = 23_002;
+
+	private static final int PEER_PORT = 23_003;
+
+	/**
+	 * Starts a daemon; it is ended with this process at the latest.
+	 * @param identity the name, zone and address of the daemon
+	 * @param storeAddress the host and port of the platform's store
+	 * @param directory the directory of its settings file and log
+	 * @param change changes the arguments of the deploy file's command
+	 * @return the process
+	 * @throws IOException if the process cannot be started
+	 */
+	static RelayProcess start(Identity identity, String storeAddress, Path directory, UnaryOperator<String> change)
+			throws IOException {
+		Path settings = directory.resolve(identity.name + ".conf");
+		Files.writeString(settings, identity.settings(storeAddress));
+		Path log = Files.createTempFile(directory, identity.name + "-", ".log");
+		ProcessBuilder builder = new ProcessBuilder(command().stream().map(change).toList());
+		builder.environment().put("POPLARLOOM_CONFIG", settings.toString());
+		builder.environment().put(SettingsReader.PEER_KEY, "peer-key-0123456789abcdef");
+		builder.redirectErrorStream(true).redirectOutput(log.toFile());
+		Process process = builder.start();
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));
+		return new RelayProcess(process, log);
+	}
+
+	private static List<String> command() throws IOException {
+		Matcher matcher = RUN_COMMAND.matcher(Files.readString(DEPLOY_FILE));
+		if (!matcher.find()) {
+			throw new IOException("no line 'run = \"...\"' in " + DEPLOY_FILE);
+		}
+		return List.of(matcher.group(1).split(" "));
+	}
+
+	/**
+	 * Asks the daemon to stop and waits until it has ended.
+	 */
+	void stop() {
+		this.process.destroy();
+		this.process.onExit().join();
+	}
+
+	double cpuSeconds() {
+		return this.process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1e3;
+	}
+
+	long logLines() throws IOException {
+		return Files.readAllLines(this.log).size();
+	}
+
+	/**
+	 * The name, zone and address of a daemon.
+	 *
+	 * @param name the name of the instance
+	 * @param zone its availability zone
+	 * @param host its loopback address
+	 * @param seeds the addresses of a few instances, with any port
+	 */
+	record Identity(String name, String zone, String host, List<String> seeds) {
+
+		String callerAddress() {
+			return this.host + ":" + CALLER_PORT;
+		}
+
+		private String settings(String storeAddress) {
+			return String.join("\n", "node=" + this.name, "zone=" + this.zone, "ip=" + this.host,
+					"listen.front=" + callerAddress(), "listen.ready=" + this.host + ":" + READINESS_PORT,
+					"portRange=" + PEER_PORT + "," + PEER_PORT, "seeds=" + String.join(",", this.seeds),
+					"platform.address=" + storeAddress, "bounds.graceS=8", "bounds.retryBudgetRatio=0.2", "");
+		}
+
+	}
+
+}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
@@ -57,15 +57,8 @@
 	@Test
 	public void eachHelperReservesMemoryForItsPartOnly() throws IOException {
 		publish(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
-		WorkerStandIn.Script script = (request, out) -> {
-			if (request.requestLine().startsWith("POST /order")) {
-				out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
-				return;
-			}
-			out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1) + "0\r\n\r\n");
-		};
-		this.firstWorker.respondWith(script);
-		this.secondWorker.respondWith(script);
+		this.firstWorker.respondWith(WorkerStandIn.STREAM_OF_ONE_EVENT);
+		this.secondWorker.respondWith(WorkerStandIn.STREAM_OF_ONE_EVENT);
 		await(() -> isStreamed(450_000));
 		List<String> reservations = received().stream()
 			.map(WorkerStandIn.ReceivedRequest::body)
@@ -77,8 +70,7 @@
 
 	private boolean isStreamed(long promptTokens) {
 		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
-			caller.send("POST /stream/probe", "probe", "Connection: close\r\nToken-Count: " + promptTokens + ",100\r\n",
-					"{}");
+			caller.sendPrompt("/stream/probe", "probe", promptTokens);
 			return caller.readAll().startsWith("HTTP/1.1 200");
 		}
 		catch (IOException ex) {
