Apply the records of one read together

Cause: each of 200 worker entries of the first read rebuilt the directory and polled all endpoints of the shard, which searched all entries: work grew with the cube of the workers (0.45 s of the relay thread in a start among 35 daemons), and 200 log lines came from every instance. Change: a listener takes all records of a read; the directory is refreshed once, and more than 12 entries are logged as one line.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -47,6 +47,11 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * More entries at once are logged as one line, as each instance reads all of them.
+	 */
+	private static final int MAX_LOGGED_ENTRIES = 12;
+
 	private final ActiveRouting routing;
 
 	private final Clock clock;
@@ -61,22 +66,38 @@
 	}
 
 	/**
-	 * Replaces an endpoint's entry.
-	 * @param entry the entry
-	 * @return whether the endpoint is new, has restarted, has another address, or has
+	 * Replaces the entries of endpoints.
+	 * @param published the entries
+	 * @return whether an endpoint is new, has restarted, has another address, or has
 	 * started or stopped draining
 	 */
-	public boolean update(EndpointEntry entry) {
-		ReceivedEntry next = new ReceivedEntry(entry, this.clock.nowMillis());
-		ReceivedEntry previous = this.endpoints.put(entry.endpoint().value(), next);
-		boolean isChanged = previous == null || previous.entry.isDraining() != entry.isDraining()
-				|| previous.entry.lifetime() != entry.lifetime() || !previous.entry.address().equals(entry.address());
-		if (isChanged) {
-			logger.info("endpoint={} event={} service={} zone={} address={} lifetime={}", entry.endpoint(),
-					entry.isDraining() ? "leaving" : "listed", entry.service(), entry.zone(), entry.address(),
-					entry.lifetime());
+	public boolean update(List<EndpointEntry> published) {
+		List<EndpointEntry> changed = new ArrayList<>();
+		for (EndpointEntry entry : published) {
+			if (isChangedBy(entry)) {
+				changed.add(entry);
+			}
+			this.endpoints.put(entry.endpoint().value(), new ReceivedEntry(entry, this.clock.nowMillis()));
+		}
+		if (changed.size() > MAX_LOGGED_ENTRIES) {
+			logger.info("event=endpoints_listed changed={} known={}", changed.size(), this.endpoints.size());
+		}
+		else {
+			changed.forEach(PublishedEntries::log);
 		}
-		return isChanged;
+		return !changed.isEmpty();
+	}
+
+	private boolean isChangedBy(EndpointEntry entry) {
+		ReceivedEntry known = this.endpoints.get(entry.endpoint().value());
+		return known == null || known.entry.isDraining() != entry.isDraining()
+				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address());
+	}
+
+	private static void log(EndpointEntry entry) {
+		logger.info("endpoint={} event={} service={} zone={} address={} lifetime={}", entry.endpoint(),
+				entry.isDraining() ? "leaving" : "listed", entry.service(), entry.zone(), entry.address(),
+				entry.lifetime());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -40,6 +40,7 @@
 import org.poplarloom.platform.Tables;
 import org.poplarloom.platform.WorkerEntryFormat;
 import org.poplarloom.platform.WorkerFormat;
+import org.poplarloom.port.EndpointEntry;
 import org.poplarloom.port.InstanceListPort.ListedInstance;
 import org.poplarloom.port.KeyedTablePort;
 import org.poplarloom.port.http.HttpExchanger;
@@ -160,10 +161,12 @@
 	private void start() {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
-		follow(Tables.OPERATORS, () -> OPERATOR_TIMING, this::notifyPeers, this::applyOperatorRecord);
+		follow(Tables.OPERATORS, () -> OPERATOR_TIMING, this::notifyPeers,
+				(records) -> records.forEach(this::applyOperatorRecord));
 		this.endpointTable = follow(Tables.WORKERS, this::endpointTiming, RelayDaemon::notifyNoPeer,
-				this::applyEndpointRecord);
-		follow(Tables.STATUS, () -> STATUS_TIMING, RelayDaemon::notifyNoPeer, this.entries::updateInstance);
+				this::applyEndpointRecords);
+		follow(Tables.STATUS, () -> STATUS_TIMING, RelayDaemon::notifyNoPeer,
+				(records) -> records.forEach(this.entries::updateInstance));
 		publishOwnEntry();
 		this.callerServer.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.callerAddress = this.callerServer.listenForCallers(this.platform.callerAddress());
@@ -179,7 +182,7 @@
 	}
 
 	private TableFollower follow(String table, Supplier<TableFollower.Timing> timing, Consumer<Message> peerNotices,
-			Consumer<KeyedTablePort.Entry> listener) {
+			Consumer<List<KeyedTablePort.Entry>> listener) {
 		TableFollower follower = new TableFollower(table, this.store, timing, this.loop, this::queryRandomPeer,
 				peerNotices, listener, this.node.clock());
 		this.node.shareWithPeers(follower);
@@ -268,18 +271,22 @@
 		}
 	}
 
-	private void applyEndpointRecord(KeyedTablePort.Entry entry) {
-		if (entry.isTombstone()) {
-			removeEndpointAfterGrace(entry.key());
-			return;
-		}
-		try {
-			if (this.entries.update(WorkerEntryFormat.read(entry.key(), entry.value()))) {
-				this.node.refreshEndpoints();
+	private void applyEndpointRecords(List<KeyedTablePort.Entry> records) {
+		List<EndpointEntry> published = new ArrayList<>();
+		for (KeyedTablePort.Entry record : records) {
+			if (record.isTombstone()) {
+				removeEndpointAfterGrace(record.key());
+				continue;
+			}
+			try {
+				published.add(WorkerEntryFormat.read(record.key(), record.value()));
+			}
+			catch (PoplarloomException ex) {
+				logger.warn("endpoint={} event=unreadable_entry cause=\"{}\"", record.key(), ex.getMessage());
 			}
 		}
-		catch (PoplarloomException ex) {
-			logger.warn("endpoint={} event=unreadable_entry cause=\"{}\"", entry.key(), ex.getMessage());
+		if (this.entries.update(published)) {
+			this.node.refreshEndpoints();
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -59,7 +59,7 @@
 
 	private final Consumer<Message> peerNotices;
 
-	private final Consumer<Entry> listener;
+	private final Consumer<List<Entry>> listener;
 
 	private final Clock clock;
 
@@ -81,12 +81,13 @@
 	 * @param scheduler runs the reads and the listener
 	 * @param peerRequests sends a request to one peer
 	 * @param peerNotices sends a notice to a few peers
-	 * @param listener takes each new record
+	 * @param listener takes the new records of each read, which are not empty; a record
+	 * that it cannot apply must not keep it from applying the others
 	 * @param clock the source of the time
 	 */
 	public TableFollower(String table, KeyedTablePort port, Supplier<Timing> timing, ScheduledExecutorService scheduler,
 			Function<Message, CompletableFuture<Message>> peerRequests, Consumer<Message> peerNotices,
-			Consumer<Entry> listener, Clock clock) {
+			Consumer<List<Entry>> listener, Clock clock) {
 		this.table = table;
 		this.port = port;
 		this.timing = timing;
@@ -186,15 +187,12 @@
 
 	private void apply(List<Entry> entries, long newNextOffset) {
 		boolean isFirstRead = this.nextOffset == NOTHING_READ;
-		boolean hasNewRecords = false;
-		for (Entry entry : entries) {
-			if (putIfNewer(entry)) {
-				hasNewRecords = true;
-				this.listener.accept(entry);
-			}
+		List<Entry> newRecords = entries.stream().filter(this::putIfNewer).toList();
+		if (!newRecords.isEmpty()) {
+			this.listener.accept(newRecords);
 		}
 		this.nextOffset = Math.max(this.nextOffset, newNextOffset);
-		if (hasNewRecords && !isFirstRead) {
+		if (!newRecords.isEmpty() && !isFirstRead) {
 			this.peerNotices.accept(new Message.TableNotice(this.table, this.nextOffset));
 		}
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
@@ -1,8 +1,14 @@
 package org.poplarloom.entry.process;
 
+import java.util.List;
+
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.entry.version.ActiveRouting;
+import org.poplarloom.port.EndpointEntry;
+
 /**
  * Tests for {@link PublishedEntries}.
  * <p>
@@ -32,4 +38,26 @@
 		Assert.assertEquals(PublishedEntries.removalDelayMillis(0, RECOVERED_MILLIS), 0);
 	}
 
+	@Test
+	public void eachChangeOfAnEntryIsReportedOnce() {
+		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), Clock.steady());
+		EndpointEntry ready = entry("i-1", false);
+		Assert.assertTrue(entries.update(List.of(ready, entry("i-2", false))));
+		Assert.assertFalse(entries.update(List.of(ready)));
+		Assert.assertTrue(entries.update(List.of(entry("i-1", true))));
+		Assert.assertFalse(entries.isServing(EndpointId.of("i-1")));
+		Assert.assertTrue(entries.isServing(EndpointId.of("i-2")));
+	}
+
+	@Test
+	public void theLastOfSeveralEntriesOfAnEndpointHolds() {
+		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), Clock.steady());
+		Assert.assertTrue(entries.update(List.of(entry("i-1", true), entry("i-1", false))));
+		Assert.assertTrue(entries.isServing(EndpointId.of("i-1")));
+	}
+
+	private static EndpointEntry entry(String id, boolean isDraining) {
+		return new EndpointEntry(EndpointId.of(id), "model", "10.0.0.1:80", "norte-a", 4, isDraining, 0, 1);
+	}
+
 }
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -41,6 +41,8 @@
 
 	private final Map<String, String> received = new ConcurrentHashMap<>();
 
+	private final List<Integer> batches = new CopyOnWriteArrayList<>();
+
 	private final List<Message> notices = new CopyOnWriteArrayList<>();
 
 	private Message peerReply;
@@ -53,14 +55,16 @@
 		this.table = new Table();
 		this.received.clear();
 		this.notices.clear();
+		this.batches.clear();
 		this.peerReply = new Message.TableContent(TABLE, 0, List.of());
 		this.follower = new TableFollower(TABLE, this.table, () -> TIMING, this.scheduler,
 				(request) -> CompletableFuture.completedFuture(this.peerReply), this.notices::add, this::receive,
 				Clock.steady());
 	}
 
-	private void receive(KeyedTablePort.Entry entry) {
-		this.received.put(entry.key(), new String(entry.value(), StandardCharsets.UTF_8));
+	private void receive(List<KeyedTablePort.Entry> entries) {
+		this.batches.add(entries.size());
+		entries.forEach((entry) -> this.received.put(entry.key(), new String(entry.value(), StandardCharsets.UTF_8)));
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -87,6 +91,16 @@
 		await(() -> !this.notices.isEmpty());
 	}
 
+	@Test
+	public void passesAllRecordsOfOneReadToTheListenerTogether() {
+		for (int i = 0; i < 200; i++) {
+			this.table.put("endpoint-" + i, "1");
+		}
+		this.follower.start();
+		await(() -> this.received.size() == 200);
+		Assert.assertEquals(this.batches, List.of(200));
+	}
+
 	@Test
 	public void removesKeysThatAreMissingFromTheSnapshotAfterRecordsExpired() {
 		this.table.put("a", "1");
