Configure logs in code and skip tracing and events that nobody reads

Cause: of 0.95 s of processor time of a start alone (one core), Logback's XML took a quarter by the class loading log; the tracing SDK, Flight Recorder events of Netty's buffers and classes for string concatenation followed.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -27,6 +27,9 @@
 
 	private static final String VARIABLE_PREFIX = "POPLARLOOM_";
 
+	/** Flight Recorder events of buffers; their classes are loaded at each start. */
+	private static final String NETTY_EVENTS_PROPERTY = "io.netty.jfr.enabled";
+
 	private static final int EXIT_FINDINGS = 1;
 
 	private static final int EXIT_USAGE = 2;
@@ -96,9 +99,8 @@
 		if (!findings.isEmpty()) {
 			return report(findings);
 		}
-		if (options.logFormat().equals("json")) {
-			System.setProperty("logback.configurationFile", "logback-json.xml");
-		}
+		LogConfigurator.useFormat(options.logFormat());
+		System.setProperty(NETTY_EVENTS_PROPERTY, "false");
 		start(settings, platform, Path.of(options.config()));
 		return RUNNING;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Tracing.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Tracing.java
@@ -5,6 +5,7 @@
 
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.TracerProvider;
 import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
 import io.opentelemetry.context.Context;
 import io.opentelemetry.context.propagation.TextMapGetter;
@@ -12,7 +13,6 @@
 import io.opentelemetry.sdk.common.CompletableResultCode;
 import io.opentelemetry.sdk.resources.Resource;
 import io.opentelemetry.sdk.trace.SdkTracerProvider;
-import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
 import io.opentelemetry.sdk.trace.data.SpanData;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SpanExporter;
@@ -56,34 +56,37 @@
 
 	};
 
-	private final SdkTracerProvider provider;
-
 	private final Tracer tracer;
 
-	private Tracing(SdkTracerProvider provider) {
-		this.provider = provider;
+	private final Runnable shutdown;
+
+	private Tracing(TracerProvider provider, Runnable shutdown) {
 		this.tracer = provider.get(INSTRUMENTATION_NAME);
+		this.shutdown = shutdown;
 	}
 
 	/**
 	 * Creates a recorder.
 	 * @param export the destination of the spans: {@code none}, {@code log} or the URL of
-	 * an OTLP collector
+	 * an OTLP collector; with {@code none} a hop only passes on the span of its caller
 	 * @param instance the instance that records
 	 * @return the recorder
 	 */
 	public static Tracing of(String export, InstanceId instance) {
-		SdkTracerProviderBuilder builder = SdkTracerProvider.builder()
+		if (export.equals(EXPORT_NONE)) {
+			return new Tracing(TracerProvider.noop(), () -> {
+			});
+		}
+		SpanExporter exporter = export.equals(EXPORT_TO_LOG) ? new LogExporter()
+				: OtlpHttpSpanExporter.builder().setEndpoint(export).build();
+		SdkTracerProvider provider = SdkTracerProvider.builder()
 			.setResource(Resource.builder()
 				.put("service.name", INSTRUMENTATION_NAME)
 				.put("host.name", instance.value())
-				.build());
-		if (!export.equals(EXPORT_NONE)) {
-			SpanExporter exporter = export.equals(EXPORT_TO_LOG) ? new LogExporter()
-					: OtlpHttpSpanExporter.builder().setEndpoint(export).build();
-			builder.addSpanProcessor(BatchSpanProcessor.builder(exporter).build());
-		}
-		return new Tracing(builder.build());
+				.build())
+			.addSpanProcessor(BatchSpanProcessor.builder(exporter).build())
+			.build();
+		return new Tracing(provider, provider::shutdown);
 	}
 
 	/**
@@ -112,7 +115,7 @@
 
 	@Override
 	public void close() {
-		this.provider.shutdown();
+		this.shutdown.run();
 	}
 
 	/**
