Run a relaying instance on one event loop (trial)

Cause: seven threads of a process on one core wake each other up: peers, periodic tasks and relaying each have their own, and homes are ticked every 50 ms on instances that are no homes. Change: relaying, connections to peers and periodic tasks share one event loop; an instance without a home ticks every 200 ms.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -53,7 +53,7 @@
 
 	private Daemon(Settings settings) {
 		this.settings = settings;
-		this.node = new Node(settings, Ports.overHttp(settings), AdaptivePlacement::new);
+		this.node = new Node(settings, Ports.overHttp(settings), AdaptivePlacement::new, NodeThreads.dedicated());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -349,6 +349,14 @@
 		return new Message.GrantAcquired(grant, addresses, bootIds);
 	}
 
+	/**
+	 * Returns whether this instance is the home of no shard.
+	 * @return true if there is no local shard
+	 */
+	public boolean isEmpty() {
+		return this.homes.isEmpty();
+	}
+
 	/**
 	 * Returns the homes of the local shards.
 	 * @return a copy, by shard
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -13,7 +13,6 @@
 import io.opentelemetry.api.trace.Span;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
 import org.poplarloom.core.InstanceId;
@@ -61,19 +60,13 @@
 
 	private static final long USAGE_TICK_PERIOD_MILLIS = 1_000;
 
-	private static final int EXECUTOR_THREADS = 2;
-
 	private final Settings settings;
 
 	private final Clock clock = Clock.steady();
 
-	private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(EXECUTOR_THREADS, (task) -> {
-		Thread thread = new Thread(task, "loop");
-		thread.setDaemon(true);
-		return thread;
-	});
+	private final NodeThreads threads;
 
-	private final Scheduler scheduler = Schedulers.fromExecutor(this.executor);
+	private final List<ScheduledFuture<?>> periodicTasks = new CopyOnWriteArrayList<>();
 
 	private final Ports ports;
 
@@ -95,6 +88,8 @@
 
 	private final Map<String, TableFollower> tableFollowers = new ConcurrentHashMap<>();
 
+	private volatile boolean closed;
+
 	private MembershipTable membership;
 
 	private InstanceView instances;
@@ -112,17 +107,22 @@
 	 * @param settings the settings
 	 * @param ports the ports to all systems other than its peers
 	 * @param placementPolicies supplies the placement policy of each new home
+	 * @param threads run the periodic tasks and the connections to peers; the node closes
+	 * them
 	 */
-	public Node(Settings settings, Ports ports, Supplier<PlacementPolicy> placementPolicies) {
+	public Node(Settings settings, Ports ports, Supplier<PlacementPolicy> placementPolicies, NodeThreads threads) {
+		this.threads = threads;
 		this.placementPolicies = placementPolicies;
 		this.settings = settings;
 		this.ports = ports;
 		this.directory = new EndpointDirectory(settings.zone(), ports.list(), ports.reports(), this.clock);
-		this.network = new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), this);
+		this.network = new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), this,
+				threads.connections());
 		this.tracing = Tracing.of(settings.traceExport(), settings.instance());
 		this.usagePublisher = new UsagePublisher(ports.log(), settings.ownerKey(),
 				settings.instance() + "@" + this.clock.nowMillis(), this.clock);
-		this.configurationFollower = new ConfigurationFollower(ports.log(), this.activeConfiguration, this.scheduler);
+		this.configurationFollower = new ConfigurationFollower(ports.log(), this.activeConfiguration,
+				Schedulers.fromExecutor(threads.tasks()));
 	}
 
 	/**
@@ -141,14 +141,27 @@
 		this.gossiper = new Gossiper(this.settings, this.membership, this.activeConfiguration, this.crashes,
 				this.instances, this.localHomes, this, this.clock);
 		runPeriodically(Gossiper.TICK_MILLIS, this.gossiper::tick);
-		runPeriodically(HOME_TICK_PERIOD_MILLIS, this.localHomes::tick);
-		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this.localHomes::followMembership);
-		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this.grantClient::handleHomeChanges);
+		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this::followMembership);
+		this.threads.tasks().execute(this::tickHomes);
 		runPeriodically(POLL_PERIOD_MILLIS, () -> this.localHomes.poll().subscribe());
 		runPeriodically(QUEUE_LOG_PERIOD_MILLIS, this.localHomes::logQueues);
 		runPeriodically(LIST_REFRESH_PERIOD_MILLIS, () -> this.directory.refresh().subscribe());
 	}
 
+	private void followMembership() {
+		this.localHomes.followMembership();
+		this.grantClient.handleHomeChanges();
+	}
+
+	// Only homes have queues, which need the short period.
+	private void tickHomes() {
+		if (!this.closed) {
+			runAndLogFailure(this.localHomes::tick);
+			long delayMillis = this.localHomes.isEmpty() ? MEMBERSHIP_PERIOD_MILLIS : HOME_TICK_PERIOD_MILLIS;
+			this.threads.tasks().schedule(this::tickHomes, delayMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	/**
 	 * Runs a task periodically until the node is closed. A failure of the task is logged.
 	 * @param delayMillis the time from the end of one run to the start of the next, in
@@ -156,7 +169,8 @@
 	 * @param task the task
 	 */
 	public void runPeriodically(long delayMillis, Runnable task) {
-		this.executor.scheduleWithFixedDelay(() -> runAndLogFailure(task), 0, delayMillis, TimeUnit.MILLISECONDS);
+		this.periodicTasks.add(this.threads.tasks()
+			.scheduleWithFixedDelay(() -> runAndLogFailure(task), 0, delayMillis, TimeUnit.MILLISECONDS));
 	}
 
 	private static void runAndLogFailure(Runnable task) {
@@ -412,8 +426,10 @@
 	@Override
 	public void close() {
 		this.configurationFollower.close();
-		this.executor.shutdownNow();
+		this.closed = true;
+		this.periodicTasks.forEach((task) -> task.cancel(false));
 		this.network.close();
+		this.threads.close();
 		this.ports.close();
 		this.tracing.close();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -134,7 +134,8 @@
 		this.platform = platform;
 		this.settings = settings;
 		this.entries = new PublishedEntries(this.routing, Clock.steady());
-		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new);
+		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new,
+				NodeThreads.shared(this.group));
 		HttpExchanger exchanger = new HttpExchanger(this.loop);
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
@@ -177,7 +178,7 @@
 	}
 
 	private TableFollower.Timing endpointTiming() {
-		boolean isHome = !this.node.localHomes().homes().isEmpty();
+		boolean isHome = !this.node.localHomes().isEmpty();
 		return isHome ? HOME_ENDPOINT_TIMING : NON_HOME_ENDPOINT_TIMING;
 	}
 
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -13,15 +13,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.wire.connection.PeerConnection;
@@ -48,8 +45,6 @@
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(1024 * 1024,
 			4 * 1024 * 1024);
 
-	private static final int EVENT_LOOP_THREADS = 2;
-
 	private final InstanceId self;
 
 	private final PeerKey key;
@@ -58,14 +53,21 @@
 
 	private final PeerTraffic traffic = new PeerTraffic();
 
-	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS,
-			new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+	private final EventLoopGroup group;
 
 	private final Map<String, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
 
 	private Channel listener;
 
-	public PeerNetwork(InstanceId self, PeerKey key, PeerHandler handler) {
+	/**
+	 * Creates a network without connections.
+	 * @param self this instance
+	 * @param key the key that all instances know
+	 * @param handler handles the messages of peers
+	 * @param group runs the connections and the handler; its owner shuts it down
+	 */
+	public PeerNetwork(InstanceId self, PeerKey key, PeerHandler handler, EventLoopGroup group) {
+		this.group = group;
 		this.self = self;
 		this.key = key;
 		this.handler = handler;
@@ -181,7 +183,6 @@
 			this.listener.close();
 		}
 		this.connections.values().forEach((connection) -> connection.thenAccept(PeerConnection::close));
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
 }
