Bound the age of the operators' table by heartbeats and gossip

Change: heartbeats and gossip name the offset that the sender has read. Whoever is behind asks the sender and others until it has the records, and gives up the read in progress. Price: one number a heartbeat and gossip message; a fetch only by who is behind.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
@@ -14,7 +14,7 @@
  * @param zone the availability zone
  * @param host the local IP address that callers and peers connect to
  * @param httpPort the port for callers and operators, 0 for any free one; in relay mode
- * the port for metrics, 0 for none
+ * the port for metrics, 0 for any free one
  * @param peerPort the port for peers, 0 for any free one
  * @param logAddress the log service's host and port
  * @param listAddress the instance list's host and port
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -53,7 +53,8 @@
 
 	private Daemon(Settings settings) {
 		this.settings = settings;
-		this.node = new Node(settings, Ports.overHttp(settings), AdaptivePlacement::new, NodeThreads.dedicated());
+		this.node = new Node(settings, Ports.overHttp(settings), AdaptivePlacement::new,
+				NodeRuntime.dedicated(settings));
 	}
 
 	/**
@@ -70,6 +71,7 @@
 	private void start() {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
+		this.node.localHomes().allowTakeOver();
 		this.node.configurationFollower().start();
 		this.node.startUsagePublishing();
 		EntryMetrics metrics = new EntryMetrics();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -75,6 +75,8 @@
 
 	private final AtomicBoolean isFetching = new AtomicBoolean();
 
+	private volatile TableFollower announcedTable;
+
 	private long awaitedOffset = Publication.NO_OFFSET;
 
 	private long awaitedSinceMillis;
@@ -97,6 +99,27 @@
 		activeConfiguration.addListener((state) -> broadcast());
 	}
 
+	/**
+	 * Names the offset of a table in each heartbeat and in gossip, so that peers which
+	 * are behind fetch what they lack.
+	 * @param table the follower of the table
+	 */
+	public void announce(TableFollower table) {
+		this.announcedTable = table;
+	}
+
+	private long announcedOffset() {
+		TableFollower table = this.announcedTable;
+		return (table != null) ? Math.max(0, table.nextOffset()) : 0;
+	}
+
+	private void handleTableOffset(Member from, long offset) {
+		TableFollower table = this.announcedTable;
+		if (table != null) {
+			table.handlePeerOffset(from.address(), offset);
+		}
+	}
+
 	/**
 	 * Sends the heartbeats and gossip that are due and expires old members and crashes.
 	 */
@@ -126,7 +149,7 @@
 		}
 		Message heartbeat = new Message.Heartbeat(self.incarnation(), self.heartbeat(),
 				this.activeConfiguration.configuration().offset(), this.activeConfiguration.configuration().digest(),
-				loads);
+				loads, announcedOffset());
 		for (Member member : sameZone) {
 			if (!member.id().equals(self.id())) {
 				this.peers.send(member.id(), member.address(), heartbeat);
@@ -140,11 +163,19 @@
 		for (InstanceView.Instance instance : others()) {
 			(isLocalZone(instance.zone()) ? sameZone : otherZones).add(instance);
 		}
-		this.instances.undiscovered().forEach(this::sendGossip);
+		greetUndiscovered();
 		pickRandom(sameZone).ifPresent(this::sendGossip);
 		pickRandom(otherZones).ifPresent(this::sendGossip);
 	}
 
+	/**
+	 * Sends gossip to the listed instances of the zone that are not live members yet; one
+	 * that did not know this instance replies in kind.
+	 */
+	public void greetUndiscovered() {
+		this.instances.undiscovered().forEach(this::sendGossip);
+	}
+
 	private boolean isLocalZone(AvailabilityZone zone) {
 		return zone.equals(this.settings.zone());
 	}
@@ -198,7 +229,7 @@
 			shards = this.membership.gossipShards(isSameZone, now, this.random);
 		}
 		return new Message.Gossip(members, shards, state.configuration().offset(), state.configuration().digest(),
-				zoneCommands, this.crashes.entries());
+				zoneCommands, this.crashes.entries(), announcedOffset());
 	}
 
 	/**
@@ -218,6 +249,7 @@
 				}
 				this.membership.mergeShards(statuses, now);
 				fetchIfNewer(member, heartbeat.offset());
+				handleTableOffset(member, heartbeat.tableOffset());
 			});
 	}
 
@@ -243,6 +275,7 @@
 			sendGossip(new InstanceView.Instance(sender.id(), sender.zone(), sender.address()));
 		}
 		fetchIfNewer(sender, gossip.offset());
+		handleTableOffset(sender, gossip.tableOffset());
 	}
 
 	// The log usually delivers the same change soon, so a peer is queried only after a
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.poplarloom.core.AvailabilityZone;
@@ -58,6 +59,15 @@
 		return new Instance(InstanceId.of(listed.id()), AvailabilityZone.of(listed.zone()), listed.address());
 	}
 
+	/**
+	 * Returns the address of an instance.
+	 * @param id the instance
+	 * @return its host and port for peers, or empty if it is not among {@link #all()}
+	 */
+	public Optional<String> address(InstanceId id) {
+		return all().stream().filter((instance) -> instance.id().equals(id)).map(Instance::address).findFirst();
+	}
+
 	/**
 	 * Returns the identifiers of {@link #all()} instances.
 	 * @return the identifiers
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -79,6 +79,8 @@
 
 	private final Map<InstanceId, Long> lastSeenMillis = new ConcurrentHashMap<>();
 
+	private volatile boolean mayTakeOver;
+
 	public LocalHomes(Settings settings, MembershipTable membership, EndpointDirectory directory,
 			EndpointPort endpoints, InstanceView instances, ActiveConfiguration activeConfiguration, Clock clock,
 			Supplier<PlacementPolicy> placementPolicies) {
@@ -99,6 +101,14 @@
 		this.homes.values().forEach((home) -> sendDecisions(home.shardHome().setOut(isOut, now)));
 	}
 
+	/**
+	 * Lets this instance take over shards from now on. Until it has looked for other
+	 * instances, it would take itself for the home of every shard.
+	 */
+	public void allowTakeOver() {
+		this.mayTakeOver = true;
+	}
+
 	/**
 	 * Takes over and releases shards as membership changes, and releases the grants of
 	 * instances that have ended.
@@ -145,7 +155,7 @@
 		Optional<Member> chosen = this.membership.home(shard, now);
 		boolean isHome = chosen.isPresent() && chosen.get().id().equals(this.settings.instance());
 		Home existing = this.homes.get(shard);
-		if (isHome && existing == null) {
+		if (isHome && existing == null && this.mayTakeOver) {
 			logger.info("taking over shard {}", shard);
 			ShardHome home = ShardHome.of(this.placementPolicies.get(), this.settings.ramp(),
 					now + this.settings.settleMillis());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -31,9 +31,8 @@
 import org.poplarloom.port.LogPort;
 import org.poplarloom.port.ServicePort;
 import org.poplarloom.wire.connection.PeerHandler;
-import org.poplarloom.wire.connection.PeerKey;
 import org.poplarloom.wire.message.Message;
-import org.poplarloom.wire.process.PeerNetwork;
+import org.poplarloom.wire.process.PeerTransport;
 
 /**
  * The state and the periodic tasks of one instance.
@@ -62,9 +61,9 @@
 
 	private final Settings settings;
 
-	private final Clock clock = Clock.steady();
+	private final Clock clock;
 
-	private final NodeThreads threads;
+	private final NodeRuntime runtime;
 
 	private final List<ScheduledFuture<?>> periodicTasks = new CopyOnWriteArrayList<>();
 
@@ -72,7 +71,7 @@
 
 	private final Supplier<PlacementPolicy> placementPolicies;
 
-	private final PeerNetwork network;
+	private final PeerTransport network;
 
 	private final ActiveConfiguration activeConfiguration = new ActiveConfiguration();
 
@@ -107,22 +106,21 @@
 	 * @param settings the settings
 	 * @param ports the ports to all systems other than its peers
 	 * @param placementPolicies supplies the placement policy of each new home
-	 * @param threads run the periodic tasks and the connections to peers; the node closes
-	 * them
+	 * @param runtime threads, time and the transport to peers; the node closes it
 	 */
-	public Node(Settings settings, Ports ports, Supplier<PlacementPolicy> placementPolicies, NodeThreads threads) {
-		this.threads = threads;
+	public Node(Settings settings, Ports ports, Supplier<PlacementPolicy> placementPolicies, NodeRuntime runtime) {
+		this.runtime = runtime;
+		this.clock = runtime.clock();
 		this.placementPolicies = placementPolicies;
 		this.settings = settings;
 		this.ports = ports;
 		this.directory = new EndpointDirectory(settings.zone(), ports.list(), ports.reports(), this.clock);
-		this.network = new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), this,
-				threads.connections());
+		this.network = runtime.transport().apply(this);
 		this.tracing = Tracing.of(settings.traceExport(), settings.instance());
 		this.usagePublisher = new UsagePublisher(ports.log(), settings.ownerKey(),
 				settings.instance() + "@" + this.clock.nowMillis(), this.clock);
 		this.configurationFollower = new ConfigurationFollower(ports.log(), this.activeConfiguration,
-				Schedulers.fromExecutor(threads.tasks()));
+				Schedulers.fromExecutor(runtime.tasks()));
 	}
 
 	/**
@@ -142,7 +140,7 @@
 				this.instances, this.localHomes, this, this.clock);
 		runPeriodically(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this::followMembership);
-		this.threads.tasks().execute(this::tickHomes);
+		this.runtime.tasks().execute(this::tickHomes);
 		runPeriodically(POLL_PERIOD_MILLIS, () -> this.localHomes.poll().subscribe());
 		runPeriodically(QUEUE_LOG_PERIOD_MILLIS, this.localHomes::logQueues);
 		runPeriodically(LIST_REFRESH_PERIOD_MILLIS, () -> this.directory.refresh().subscribe());
@@ -158,7 +156,7 @@
 		if (!this.closed) {
 			runAndLogFailure(this.localHomes::tick);
 			long delayMillis = this.localHomes.isEmpty() ? MEMBERSHIP_PERIOD_MILLIS : HOME_TICK_PERIOD_MILLIS;
-			this.threads.tasks().schedule(this::tickHomes, delayMillis, TimeUnit.MILLISECONDS);
+			this.runtime.tasks().schedule(this::tickHomes, delayMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -169,7 +167,7 @@
 	 * @param task the task
 	 */
 	public void runPeriodically(long delayMillis, Runnable task) {
-		this.periodicTasks.add(this.threads.tasks()
+		this.periodicTasks.add(this.runtime.tasks()
 			.scheduleWithFixedDelay(() -> runAndLogFailure(task), 0, delayMillis, TimeUnit.MILLISECONDS));
 	}
 
@@ -244,7 +242,9 @@
 			reply.accept(this.tableFollowers.get(fetch.table()).recordsSince(fetch.offset()));
 		}
 		else if (message instanceof Message.TableNotice notice && this.tableFollowers.containsKey(notice.table())) {
-			this.tableFollowers.get(notice.table()).handleNotice(notice.nextOffset());
+			this.instances.address(peer)
+				.ifPresent((address) -> this.tableFollowers.get(notice.table())
+					.handlePeerOffset(address, notice.nextOffset()));
 		}
 		else if (message instanceof Message.ConfigurationFetch fetch) {
 			reply.accept(new Message.ConfigurationContent(
@@ -419,7 +419,7 @@
 	 * Returns the connections to peers.
 	 * @return the network
 	 */
-	public PeerNetwork network() {
+	public PeerTransport network() {
 		return this.network;
 	}
 
@@ -429,7 +429,7 @@
 		this.closed = true;
 		this.periodicTasks.forEach((task) -> task.cancel(false));
 		this.network.close();
-		this.threads.close();
+		this.runtime.close();
 		this.ports.close();
 		this.tracing.close();
 	}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/NodeRuntime.java
@@ -0,0 +1,76 @@
+package org.poplarloom.entry.process;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.poplarloom.entry.Settings;
+import org.poplarloom.wire.connection.PeerHandler;
+import org.poplarloom.wire.connection.PeerKey;
+import org.poplarloom.wire.process.PeerNetwork;
+import org.poplarloom.wire.process.PeerTransport;
+
+/**
+ * What a node runs on: threads, time and the transport to its peers. This class is
+ * immutable and thread-safe.
+ *
+ * @param tasks runs the periodic tasks
+ * @param clock the source of the time
+ * @param transport creates the transport for a handler of messages
+ * @param closeAction ends the threads that only the node uses
+ */
+public record NodeRuntime(ScheduledExecutorService tasks, Clock clock, Function<PeerHandler, PeerTransport> transport,
+		Runnable closeAction) implements AutoCloseable {
+
+	private static final int TASK_THREADS = 2;
+
+	private static final int CONNECTION_THREADS = 2;
+
+	/**
+	 * Returns new threads that only the node uses.
+	 * @param settings the settings
+	 * @return the runtime
+	 */
+	public static NodeRuntime dedicated(Settings settings) {
+		ScheduledExecutorService tasks = Executors.newScheduledThreadPool(TASK_THREADS, (task) -> {
+			Thread thread = new Thread(task, "loop");
+			thread.setDaemon(true);
+			return thread;
+		});
+		EventLoopGroup connections = new MultiThreadIoEventLoopGroup(CONNECTION_THREADS,
+				new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+		return new NodeRuntime(tasks, Clock.steady(), (handler) -> network(settings, handler, connections), () -> {
+			tasks.shutdownNow();
+			connections.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		});
+	}
+
+	/**
+	 * Returns an event loop that the node shares with the rest of the process. On an
+	 * instance with a single core this saves the switches between threads.
+	 * @param settings the settings
+	 * @param group the event loop, which its owner shuts down after it has closed the
+	 * node
+	 * @return the runtime
+	 */
+	public static NodeRuntime shared(Settings settings, EventLoopGroup group) {
+		return new NodeRuntime(group, Clock.steady(), (handler) -> network(settings, handler, group), () -> {
+		});
+	}
+
+	private static PeerTransport network(Settings settings, PeerHandler handler, EventLoopGroup group) {
+		return new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), handler, group);
+	}
+
+	@Override
+	public void close() {
+		this.closeAction.run();
+	}
+
+}
--- /dev/null
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -0,0 +1,299 @@
+package org.poplarloom.entry.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.version.Documents;
+import org.poplarloom.core.version.RoutingTable;
+import org.poplarloom.core.version.ZoneCommand;
+import org.poplarloom.entry.version.ActiveRouting;
+import org.poplarloom.platform.ConfigurationFormat;
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.WorkerEntryFormat;
+import org.poplarloom.port.EndpointEntry;
+import org.poplarloom.port.InstanceListPort.ListedInstance;
+import org.poplarloom.port.KeyedTablePort;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * The copies of the platform's tables at one instance: what operators, endpoints and the
+ * other instances have published.
+ * <p>
+ * The age of the operators' table is bounded although a read may stay without an answer:
+ * heartbeats and gossip name the offset that the sender has read, and whoever is behind
+ * fetches the records from the sender. This class is thread-safe.
+ */
+final class RelayTables {
+
+	private static final Logger logger = LoggerFactory.getLogger(RelayTables.class);
+
+	/** A read returns as soon as there is a new record. */
+	private static final TableFollower.Timing OPERATOR_TIMING = new TableFollower.Timing(4_000, 20);
+
+	/** A home must stop granting an endpoint within 2 s after it starts to drain. */
+	private static final TableFollower.Timing HOME_ENDPOINT_TIMING = new TableFollower.Timing(0, 900);
+
+	/** An instance that is no home keeps its copy recent enough to become one quickly. */
+	private static final TableFollower.Timing NON_HOME_ENDPOINT_TIMING = new TableFollower.Timing(0, 4_000);
+
+	/** Instances that are not in the table yet introduce themselves to those that are. */
+	private static final TableFollower.Timing STATUS_TIMING = new TableFollower.Timing(0, 8_000);
+
+	private static final long PEER_TIMEOUT_MILLIS = 600;
+
+	private static final long ENTRY_RETRY_MILLIS = 1_000;
+
+	/** Other instances of the zone reply to a greeting within a few milliseconds. */
+	private static final long GREETING_REPLY_MILLIS = 150;
+
+	/**
+	 * If the store does not answer, an instance acts on what it knows after this time.
+	 */
+	private static final long MAX_DISCOVERY_MILLIS = 2_000;
+
+	/**
+	 * Each instance that has news passes it on, so n instances know it in about log(n)
+	 * rounds.
+	 */
+	private static final int NOTIFIED_PEERS = 2;
+
+	private final Identity identity;
+
+	private final KeyedTablePort store;
+
+	private final ActiveRouting routing;
+
+	private final PublishedEntries entries;
+
+	private final Node node;
+
+	private final ScheduledExecutorService scheduler;
+
+	private volatile TableFollower operatorTable;
+
+	private TableFollower endpointTable;
+
+	private boolean instancesFollowed;
+
+	private volatile boolean stopping;
+
+	/**
+	 * Creates copies that are empty until {@link #start()}.
+	 * @param identity the entry that this instance publishes and the seeds of its
+	 * settings
+	 * @param store the platform's store
+	 * @param routing takes the operators' configuration
+	 * @param entries takes the entries of endpoints and instances
+	 * @param node the started node
+	 * @param scheduler runs the reads and applies what they return
+	 */
+	RelayTables(Identity identity, KeyedTablePort store, ActiveRouting routing, PublishedEntries entries, Node node,
+			ScheduledExecutorService scheduler) {
+		this.identity = identity;
+		this.store = store;
+		this.routing = routing;
+		this.entries = entries;
+		this.node = node;
+		this.scheduler = scheduler;
+	}
+
+	/**
+	 * Starts to read the tables and publishes this instance's entry.
+	 */
+	void start() {
+		this.operatorTable = follow(Tables.OPERATORS, () -> OPERATOR_TIMING, NOTIFIED_PEERS,
+				(records) -> records.forEach(this::applyOperatorRecord));
+		this.node.gossiper().announce(this.operatorTable);
+		this.endpointTable = follow(Tables.WORKERS, this::endpointTiming, 0, this::applyEndpointRecords);
+		publishOwnEntry();
+		allowTakeOverAfter(MAX_DISCOVERY_MILLIS);
+	}
+
+	private void allowTakeOverAfter(long delayMillis) {
+		this.scheduler.schedule(this.node.localHomes()::allowTakeOver, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Stops to publish this instance's entry again.
+	 */
+	void stop() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Returns how long ago the platform last confirmed that the operators' table is
+	 * complete.
+	 * @return the age in milliseconds, 0 or more
+	 */
+	long operatorsAgeMillis() {
+		TableFollower table = this.operatorTable;
+		return (table != null) ? table.ageMillis() : 0;
+	}
+
+	private TableFollower.Timing endpointTiming() {
+		return this.node.localHomes().isEmpty() ? NON_HOME_ENDPOINT_TIMING : HOME_ENDPOINT_TIMING;
+	}
+
+	private TableFollower follow(String table, Supplier<TableFollower.Timing> timing, int notifiedPeers,
+			Consumer<List<KeyedTablePort.Entry>> listener) {
+		TableFollower follower = new TableFollower(table, this.store, timing, this.scheduler,
+				new Instances(notifiedPeers), listener, this.node.clock());
+		this.node.shareWithPeers(follower);
+		follower.start();
+		return follower;
+	}
+
+	// The table of instances is read only after the own entry was written: of two
+	// instances that start at the same time, at least the later one finds the other.
+	private void publishOwnEntry() {
+		ListedInstance own = this.identity.own();
+		this.store.put(Tables.STATUS, own.id(), Documents.write(own).getBytes(StandardCharsets.UTF_8))
+			.whenCompleteAsync((offset, failure) -> {
+				if (failure != null && !this.stopping) {
+					logger.warn("event=announcement_failed cause=\"{}\"", failure.getMessage());
+					this.scheduler.schedule(this::publishOwnEntry, ENTRY_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+				}
+				followInstances();
+			}, this.scheduler);
+	}
+
+	private void followInstances() {
+		if (this.instancesFollowed) {
+			return;
+		}
+		this.instancesFollowed = true;
+		follow(Tables.STATUS, () -> STATUS_TIMING, 0, this::applyInstanceRecords);
+	}
+
+	private void applyInstanceRecords(List<KeyedTablePort.Entry> records) {
+		records.forEach(this.entries::updateInstance);
+		this.node.refreshEndpoints();
+		this.node.gossiper().greetUndiscovered();
+		allowTakeOverAfter(GREETING_REPLY_MILLIS);
+	}
+
+	private void applyOperatorRecord(KeyedTablePort.Entry entry) {
+		if (entry.key().equals(ConfigurationFormat.CONFIGURATION_KEY)) {
+			applyConfiguration(entry);
+		}
+		else if (entry.key().startsWith(ConfigurationFormat.EVACUATION_KEY_PREFIX)) {
+			String zone = entry.key().substring(ConfigurationFormat.EVACUATION_KEY_PREFIX.length());
+			logger.info("event=evacuation zone={} out={} offset={}", zone, !entry.isTombstone(), entry.offset());
+			this.node.activeConfiguration()
+				.applyZoneCommands(List.of(new ZoneCommand(entry.key() + "@" + entry.offset(), entry.offset(),
+						entry.offset(), "operator", AvailabilityZone.of(zone), !entry.isTombstone())));
+		}
+	}
+
+	private void applyConfiguration(KeyedTablePort.Entry entry) {
+		if (entry.isTombstone()) {
+			return;
+		}
+		try {
+			RoutingTable next = ConfigurationFormat.read(entry.value());
+			if (this.routing.activateIfNewer(next)) {
+				logger.info("event=configuration version={} offset={} age_ms={}", next.version(), entry.offset(),
+						operatorsAgeMillis());
+			}
+		}
+		catch (PoplarloomException | IllegalArgumentException ex) {
+			logger.error("event=unreadable_configuration offset={} cause=\"{}\"", entry.offset(), ex.getMessage());
+		}
+	}
+
+	private void applyEndpointRecords(List<KeyedTablePort.Entry> records) {
+		List<EndpointEntry> published = new ArrayList<>();
+		for (KeyedTablePort.Entry record : records) {
+			if (record.isTombstone()) {
+				removeEndpointAfterGrace(record.key());
+				continue;
+			}
+			try {
+				published.add(WorkerEntryFormat.read(record.key(), record.value()));
+			}
+			catch (PoplarloomException ex) {
+				logger.warn("endpoint={} event=unreadable_entry cause=\"{}\"", record.key(), ex.getMessage());
+			}
+		}
+		if (this.entries.update(published)) {
+			this.node.refreshEndpoints();
+		}
+	}
+
+	private void removeEndpointAfterGrace(String id) {
+		long now = this.node.clock().nowMillis();
+		long recovered = (this.endpointTable != null) ? this.endpointTable.recoveredMillis() : 0;
+		this.scheduler.schedule(() -> {
+			this.entries.remove(id, now);
+			this.node.refreshEndpoints();
+		}, PublishedEntries.removalDelayMillis(recovered, now), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * What an instance publishes about itself, and where others may be found.
+	 *
+	 * @param own the entry of this instance
+	 * @param seeds addresses of a few instances for peers, which may be gone
+	 */
+	record Identity(ListedInstance own, List<String> seeds) {
+	}
+
+	/**
+	 * The instances that are known from their entries and the settings. This class is
+	 * thread-safe.
+	 */
+	private final class Instances implements TablePeers {
+
+		private final int notifiedPeers;
+
+		Instances(int notifiedPeers) {
+			this.notifiedPeers = notifiedPeers;
+		}
+
+		@Override
+		public CompletableFuture<Message> queryAny(Message query) {
+			List<String> addresses = new ArrayList<>(RelayTables.this.entries.peerAddresses(ownAddress()));
+			addresses.addAll(RelayTables.this.identity.seeds());
+			addresses.remove(ownAddress());
+			if (addresses.isEmpty()) {
+				return CompletableFuture
+					.failedFuture(new PoplarloomException(ErrorCode.PEER_TIMEOUT, "no other instance is known"));
+			}
+			return query(addresses.get(ThreadLocalRandom.current().nextInt(addresses.size())), query);
+		}
+
+		@Override
+		public CompletableFuture<Message> query(String address, Message query) {
+			return RelayTables.this.node.network().request(address, query, PEER_TIMEOUT_MILLIS);
+		}
+
+		@Override
+		public void notifySome(Message notice) {
+			List<String> addresses = new ArrayList<>(RelayTables.this.entries.peerAddresses(ownAddress()));
+			Collections.shuffle(addresses);
+			addresses.stream()
+				.limit(this.notifiedPeers)
+				.forEach((address) -> RelayTables.this.node.network().send(address, notice));
+		}
+
+		private String ownAddress() {
+			return RelayTables.this.identity.own().address();
+		}
+
+	}
+
+}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -41,9 +41,14 @@
 
 	/**
 	 * Leaves the platform time to deliver records that a peer has already read before
-	 * they are fetched from a peer.
+	 * they are fetched from that peer.
 	 */
-	private static final long PEER_FETCH_DELAY_MILLIS = 250;
+	private static final long PEER_FETCH_DELAY_MILLIS = 150;
+
+	private static final long PEER_FETCH_PERIOD_MILLIS = 300;
+
+	/** A peer that still names the offset starts the attempts again. */
+	private static final int MAX_PEER_FETCHES = 10;
 
 	private static final long NOTHING_READ = -1;
 
@@ -55,9 +60,7 @@
 
 	private final ScheduledExecutorService scheduler;
 
-	private final Function<Message, CompletableFuture<Message>> peerRequests;
-
-	private final Consumer<Message> peerNotices;
+	private final TablePeers peers;
 
 	private final Consumer<List<Entry>> listener;
 
@@ -73,29 +76,35 @@
 
 	private long lastReadMillis;
 
+	private volatile long confirmedMillis;
+
+	private long readNumber;
+
+	private ScheduledFuture<?> pendingRead;
+
+	private long awaitedOffset = NOTHING_READ;
+
 	/**
 	 * Creates a follower, which does nothing until it is started.
 	 * @param table the name of the table
 	 * @param port the platform
 	 * @param timing supplies the current timing of the reads
-	 * @param scheduler runs the reads and the listener
-	 * @param peerRequests sends a request to one peer
-	 * @param peerNotices sends a notice to a few peers
+	 * @param scheduler runs the reads and the listener, on one thread
+	 * @param peers the other instances
 	 * @param listener takes the new records of each read, which are not empty; a record
 	 * that it cannot apply must not keep it from applying the others
 	 * @param clock the source of the time
 	 */
 	public TableFollower(String table, KeyedTablePort port, Supplier<Timing> timing, ScheduledExecutorService scheduler,
-			Function<Message, CompletableFuture<Message>> peerRequests, Consumer<Message> peerNotices,
-			Consumer<List<Entry>> listener, Clock clock) {
+			TablePeers peers, Consumer<List<Entry>> listener, Clock clock) {
 		this.table = table;
 		this.port = port;
 		this.timing = timing;
 		this.scheduler = scheduler;
-		this.peerRequests = peerRequests;
-		this.peerNotices = peerNotices;
+		this.peers = peers;
 		this.listener = listener;
 		this.clock = clock;
+		this.confirmedMillis = clock.nowMillis();
 	}
 
 	/**
@@ -107,9 +116,16 @@
 
 	private void readNext() {
 		long from = this.nextOffset;
+		long number = ++this.readNumber;
+		if (this.pendingRead != null) {
+			this.pendingRead.cancel(false);
+		}
 		CompletableFuture<Page> page = (from == NOTHING_READ) ? this.port.readNewest(this.table)
 				: this.port.read(this.table, from, this.timing.get().waitMillis());
 		page.whenCompleteAsync((read, failure) -> {
+			if (number != this.readNumber) {
+				return;
+			}
 			try {
 				handleRead(from, read, failure);
 			}
@@ -123,11 +139,12 @@
 	private void handleRead(long from, Page page, Throwable failure) {
 		if (failure != null) {
 			recordFailure(failure);
-			fetchFromPeer();
+			fetch(this.peers.queryAny(fetchMessage()));
 			readAfter(RETRY_DELAY_MILLIS);
 			return;
 		}
 		recordSuccess();
+		this.confirmedMillis = this.clock.nowMillis();
 		if (page.isExpired()) {
 			logger.info("table={} event=history_expired offset={}", this.table, from);
 			this.port.readNewest(this.table).whenCompleteAsync((snapshot, snapshotFailure) -> {
@@ -155,14 +172,14 @@
 			readNext();
 		}
 		else if (!this.scheduler.isShutdown()) {
-			this.scheduler.schedule(this::readWhenDue, Math.min(remainingMillis, TIMING_CHECK_MILLIS),
-					TimeUnit.MILLISECONDS);
+			this.pendingRead = this.scheduler.schedule(this::readWhenDue,
+					Math.min(remainingMillis, TIMING_CHECK_MILLIS), TimeUnit.MILLISECONDS);
 		}
 	}
 
 	private void readAfter(long delayMillis) {
 		if (!this.scheduler.isShutdown()) {
-			this.scheduler.schedule(this::readNext, delayMillis, TimeUnit.MILLISECONDS);
+			this.pendingRead = this.scheduler.schedule(this::readNext, delayMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -193,22 +210,46 @@
 		}
 		this.nextOffset = Math.max(this.nextOffset, newNextOffset);
 		if (!newRecords.isEmpty() && !isFirstRead) {
-			this.peerNotices.accept(new Message.TableNotice(this.table, this.nextOffset));
+			this.peers.notifySome(new Message.TableNotice(this.table, this.nextOffset));
 		}
 	}
 
 	/**
-	 * Handles a peer's notice that there are new records.
+	 * Handles the offset that a peer has read.
 	 * <p>
-	 * If the platform does not deliver them soon, they are fetched from a peer.
+	 * If the platform does not deliver the records soon, they are fetched from the peer
+	 * and from others until they are there, and the read in progress is given up as lost.
+	 * @param address the host and port of the peer
 	 * @param peerNextOffset the offset after the last record that the peer has read
 	 */
-	public void handleNotice(long peerNextOffset) {
-		this.scheduler.schedule(() -> {
-			if (this.nextOffset < peerNextOffset) {
-				fetchFromPeer();
+	public void handlePeerOffset(String address, long peerNextOffset) {
+		if (peerNextOffset > this.nextOffset) {
+			this.scheduler.execute(() -> awaitOffset(address, peerNextOffset));
+		}
+	}
+
+	private void awaitOffset(String address, long offset) {
+		if (offset > this.awaitedOffset) {
+			this.awaitedOffset = offset;
+			this.scheduler.schedule(() -> fetchAwaited(address, offset, 0), PEER_FETCH_DELAY_MILLIS,
+					TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void fetchAwaited(String address, long offset, int fetches) {
+		if (this.nextOffset >= offset || fetches >= MAX_PEER_FETCHES || this.scheduler.isShutdown()) {
+			if (this.awaitedOffset == offset) {
+				this.awaitedOffset = NOTHING_READ;
 			}
-		}, PEER_FETCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		boolean asksInformant = fetches % 2 == 0;
+		fetch(asksInformant ? this.peers.query(address, fetchMessage()) : this.peers.queryAny(fetchMessage()));
+		if (fetches == 0) {
+			readNext();
+		}
+		this.scheduler.schedule(() -> fetchAwaited(address, offset, fetches + 1), PEER_FETCH_PERIOD_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	private synchronized boolean putIfNewer(Entry entry) {
@@ -236,16 +277,19 @@
 		}
 	}
 
-	private void fetchFromPeer() {
-		this.peerRequests.apply(new Message.TableFetch(this.table, this.nextOffset))
-			.whenCompleteAsync((reply, failure) -> {
-				if (reply instanceof Message.TableContent content && content.nextOffset() > this.nextOffset) {
-					List<Entry> entries = content.records().stream().map(TableFollower::toEntry).toList();
-					logger.info("table={} event=learnt_from_peer records={} offset={}", this.table, entries.size(),
-							content.nextOffset());
-					apply(entries, content.nextOffset());
-				}
-			}, this.scheduler);
+	private Message fetchMessage() {
+		return new Message.TableFetch(this.table, this.nextOffset);
+	}
+
+	private void fetch(CompletableFuture<Message> reply) {
+		reply.whenCompleteAsync((message, failure) -> {
+			if (message instanceof Message.TableContent content && content.nextOffset() > this.nextOffset) {
+				List<Entry> entries = content.records().stream().map(TableFollower::toEntry).toList();
+				logger.info("table={} event=learnt_from_peer records={} offset={} age_ms={}", this.table,
+						entries.size(), content.nextOffset(), ageMillis());
+				apply(entries, content.nextOffset());
+			}
+		}, this.scheduler);
 	}
 
 	private static Entry toEntry(Message.TableRecord message) {
@@ -285,6 +329,14 @@
 		return this.nextOffset;
 	}
 
+	/**
+	 * Returns how long ago the platform last confirmed that the copy is complete.
+	 * @return the age in milliseconds, 0 or more
+	 */
+	public long ageMillis() {
+		return Math.max(0, this.clock.nowMillis() - this.confirmedMillis);
+	}
+
 	/**
 	 * Returns whether the last read from the platform failed.
 	 * @return true until a read succeeds
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
@@ -2,9 +2,6 @@
 
 import java.util.Optional;
 
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import org.poplarloom.core.version.RoutingTable;
 
 /**
@@ -14,19 +11,19 @@
  */
 public final class ActiveRouting {
 
-	private static final Logger logger = LoggerFactory.getLogger(ActiveRouting.class);
-
 	private volatile RoutingTable table;
 
 	/**
 	 * Activates a table if its version is higher than that of the table in force.
 	 * @param next the table
+	 * @return whether it is in force now and was not before
 	 */
-	public synchronized void activateIfNewer(RoutingTable next) {
-		if (this.table == null || next.version() > this.table.version()) {
+	public synchronized boolean activateIfNewer(RoutingTable next) {
+		boolean isNewer = this.table == null || next.version() > this.table.version();
+		if (isNewer) {
 			this.table = next;
-			logger.info("event=configuration version={}", next.version());
 		}
+		return isNewer;
 	}
 
 	/**
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -0,0 +1,318 @@
+package org.poplarloom.entry.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongConsumer;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.process.ColdStartRamp;
+import org.poplarloom.core.process.CostPlacement;
+import org.poplarloom.core.usage.OwnerKey;
+import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.version.ActiveRouting;
+import org.poplarloom.port.InstanceListPort.ListedInstance;
+import org.poplarloom.port.KeyedTablePort;
+import org.poplarloom.wire.connection.PeerHandler;
+import org.poplarloom.wire.connection.PeerTraffic;
+import org.poplarloom.wire.message.Message;
+import org.poplarloom.wire.process.PeerTransport;
+
+/**
+ * Instances of several zones and the platform's store in one thread and in virtual time.
+ * <p>
+ * Nodes, membership, gossip and tables are the real ones; only the connections and the
+ * store are replaced. Zones can be silenced, and answers of the store can be lost. The
+ * same seed gives the same run. This class is not thread-safe.
+ */
+final class SimulatedFleet {
+
+	private static final long PEER_DELAY_MILLIS = 1;
+
+	private static final long STORE_DELAY_MILLIS = 4;
+
+	/**
+	 * When a client of the store gives up a call, in addition to the wait of the call.
+	 */
+	private static final long STORE_TIMEOUT_MILLIS = 1_500;
+
+	private static final long START_MILLIS = 1_700_000_000_000L;
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final Random random;
+
+	private final Map<String, List<KeyedTablePort.Entry>> tables = new HashMap<>();
+
+	private final List<WaitingRead> waitingReads = new ArrayList<>();
+
+	private final Map<String, Instance> instancesByAddress = new HashMap<>();
+
+	private final List<Instance> instances = new ArrayList<>();
+
+	private final Set<String> silentZones = new HashSet<>();
+
+	private double lostAnswerRatio;
+
+	private long elapsedMillis;
+
+	SimulatedFleet(long seed) {
+		this.random = new Random(seed);
+		this.channel.freezeTime();
+	}
+
+	long elapsedMillis() {
+		return this.elapsedMillis;
+	}
+
+	List<Instance> instances() {
+		return this.instances;
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	void loseAnswers(double ratio) {
+		this.lostAnswerRatio = ratio;
+	}
+
+	void setSilent(String zone, boolean isSilent) {
+		if (isSilent) {
+			this.silentZones.add(zone);
+		}
+		else {
+			this.silentZones.remove(zone);
+		}
+	}
+
+	Instance start(String id, String zone) {
+		Instance instance = new Instance(id, zone, "10.0.0." + (this.instances.size() + 1));
+		this.instances.add(instance);
+		this.instancesByAddress.put(instance.address, instance);
+		instance.start();
+		return instance;
+	}
+
+	long put(String table, String key, String value) {
+		List<KeyedTablePort.Entry> records = this.tables.computeIfAbsent(table, (name) -> new ArrayList<>());
+		long offset = records.size();
+		records.add(new KeyedTablePort.Entry(key, value.getBytes(StandardCharsets.UTF_8), offset));
+		List<WaitingRead> due = this.waitingReads.stream().filter((read) -> read.table.equals(table)).toList();
+		this.waitingReads.removeAll(due);
+		due.forEach((read) -> answerLater(read.reader, read.result, page(table, read.from)));
+		return offset;
+	}
+
+	/**
+	 * Advances the time.
+	 * @param millis by how much
+	 * @param eachStep is called with the elapsed time after each step
+	 */
+	void advance(long millis, LongConsumer eachStep) {
+		long end = this.elapsedMillis + millis;
+		while (this.elapsedMillis < end) {
+			this.elapsedMillis++;
+			this.channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+			this.channel.runScheduledPendingTasks();
+			this.channel.runPendingTasks();
+			eachStep.accept(this.elapsedMillis);
+		}
+	}
+
+	private void schedule(Runnable task, long delayMillis) {
+		this.channel.eventLoop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private KeyedTablePort.Page page(String table, long from) {
+		List<KeyedTablePort.Entry> records = this.tables.getOrDefault(table, List.of());
+		return new KeyedTablePort.Page(records.size(), false, List.copyOf(records.subList((int) from, records.size())));
+	}
+
+	private <T> void answerLater(Instance caller, CompletableFuture<T> result, T answer) {
+		boolean isLost = this.random.nextDouble() < this.lostAnswerRatio;
+		schedule(() -> {
+			if (!isLost && !this.silentZones.contains(caller.zone)) {
+				result.complete(answer);
+			}
+		}, STORE_DELAY_MILLIS);
+	}
+
+	private <T> CompletableFuture<T> newCall(long waitMillis) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		schedule(() -> result.completeExceptionally(new TimeoutException("no answer")),
+				waitMillis + STORE_TIMEOUT_MILLIS);
+		return result;
+	}
+
+	/**
+	 * A read that waits for a record.
+	 */
+	private record WaitingRead(Instance reader, String table, long from,
+			CompletableFuture<KeyedTablePort.Page> result) {
+	}
+
+	/**
+	 * One instance.
+	 */
+	final class Instance implements KeyedTablePort, PeerTransport {
+
+		private final String zone;
+
+		private final String address;
+
+		private final Settings settings;
+
+		private final PublishedEntries entries;
+
+		private final ActiveRouting routing = new ActiveRouting();
+
+		private final Node node;
+
+		private final PeerTraffic traffic = new PeerTraffic();
+
+		private PeerHandler handler;
+
+		private Instance(String id, String zone, String host) {
+			this.zone = zone;
+			this.address = host + ":1";
+			this.settings = new Settings(InstanceId.of(id), AvailabilityZone.of(zone), host, 0, 1, "", "",
+					"0123456789abcdef", "", 1, 1_600, 1_000, new ColdStartRamp.Settings(6, 500, 500), 0, 2_000,
+					OwnerKey.none(), "none");
+			this.entries = new PublishedEntries(this.routing, this::nowMillis);
+			NodeRuntime runtime = new NodeRuntime(SimulatedFleet.this.channel.eventLoop(), this::nowMillis,
+					this::connect, () -> {
+					});
+			this.node = new Node(this.settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new,
+					runtime);
+		}
+
+		private long nowMillis() {
+			return START_MILLIS + SimulatedFleet.this.elapsedMillis;
+		}
+
+		private PeerTransport connect(PeerHandler newHandler) {
+			this.handler = newHandler;
+			return this;
+		}
+
+		private void start() {
+			this.node.start();
+			ListedInstance own = new ListedInstance(this.settings.instance().value(), ListedInstance.ENTRY, this.zone,
+					this.address, false);
+			new RelayTables(new RelayTables.Identity(own, List.of()), this, this.routing, this.entries, this.node,
+					SimulatedFleet.this.channel.eventLoop())
+				.start();
+		}
+
+		String zone() {
+			return this.zone;
+		}
+
+		boolean isHome() {
+			return !this.node.localHomes().isEmpty();
+		}
+
+		long configurationVersion() {
+			return this.routing.table().map((table) -> table.version()).orElse(0L);
+		}
+
+		@Override
+		public int listen(String host, int port) {
+			return port;
+		}
+
+		@Override
+		public void send(String target, Message message) {
+			deliver(target, message, (reply) -> {
+			});
+		}
+
+		@Override
+		public CompletableFuture<Message> request(String target, Message message, long timeoutMillis) {
+			CompletableFuture<Message> result = new CompletableFuture<>();
+			schedule(() -> result.completeExceptionally(new TimeoutException("no reply")), timeoutMillis);
+			deliver(target, message, (reply) -> schedule(() -> {
+				if (isReachable(target)) {
+					result.complete(reply);
+				}
+			}, PEER_DELAY_MILLIS));
+			return result;
+		}
+
+		private void deliver(String target, Message message, java.util.function.Consumer<Message> reply) {
+			schedule(() -> {
+				if (isReachable(target)) {
+					SimulatedFleet.this.instancesByAddress.get(target).handler.handle(this.settings.instance(), message,
+							reply);
+				}
+			}, PEER_DELAY_MILLIS);
+		}
+
+		private boolean isReachable(String target) {
+			Instance peer = SimulatedFleet.this.instancesByAddress.get(target);
+			return peer != null && !SimulatedFleet.this.silentZones.contains(this.zone)
+					&& !SimulatedFleet.this.silentZones.contains(peer.zone);
+		}
+
+		@Override
+		public PeerTraffic traffic() {
+			return this.traffic;
+		}
+
+		@Override
+		public void close() {
+			// The fleet ends with the test.
+		}
+
+		@Override
+		public CompletableFuture<Page> readNewest(String table) {
+			CompletableFuture<Page> result = newCall(0);
+			answerLater(this, result, page(table, 0));
+			return result;
+		}
+
+		@Override
+		public CompletableFuture<Page> read(String table, long from, long waitMillis) {
+			CompletableFuture<Page> result = newCall(waitMillis);
+			Page page = page(table, from);
+			if (waitMillis == 0 || !page.records().isEmpty()) {
+				answerLater(this, result, page);
+				return result;
+			}
+			WaitingRead waiting = new WaitingRead(this, table, from, result);
+			SimulatedFleet.this.waitingReads.add(waiting);
+			schedule(() -> {
+				if (SimulatedFleet.this.waitingReads.remove(waiting)) {
+					answerLater(this, result, page(table, from));
+				}
+			}, waitMillis);
+			return result;
+		}
+
+		@Override
+		public CompletableFuture<Long> put(String table, String key, byte[] value) {
+			CompletableFuture<Long> result = newCall(0);
+			schedule(() -> {
+				if (!SimulatedFleet.this.silentZones.contains(this.zone)) {
+					answerLater(this, result,
+							SimulatedFleet.this.put(table, key, new String(value, StandardCharsets.UTF_8)));
+				}
+			}, STORE_DELAY_MILLIS);
+			return result;
+		}
+
+	}
+
+}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -57,9 +57,8 @@
 		this.notices.clear();
 		this.batches.clear();
 		this.peerReply = new Message.TableContent(TABLE, 0, List.of());
-		this.follower = new TableFollower(TABLE, this.table, () -> TIMING, this.scheduler,
-				(request) -> CompletableFuture.completedFuture(this.peerReply), this.notices::add, this::receive,
-				Clock.steady());
+		this.follower = new TableFollower(TABLE, this.table, () -> TIMING, this.scheduler, new SinglePeer(),
+				this::receive, Clock.steady());
 	}
 
 	private void receive(List<KeyedTablePort.Entry> entries) {
@@ -143,7 +142,7 @@
 		this.follower.start();
 		await(() -> "1".equals(this.received.get("a")));
 		this.peerReply = new Message.TableContent(TABLE, 3, List.of(new Message.TableRecord("a", "3", 2)));
-		this.follower.handleNotice(3);
+		this.follower.handlePeerOffset("peer:1", 3);
 		await(() -> "3".equals(this.received.get("a")));
 	}
 
@@ -158,6 +157,28 @@
 		Assert.assertEquals(content.nextOffset(), 2);
 	}
 
+	/**
+	 * The only other instance.
+	 */
+	private final class SinglePeer implements TablePeers {
+
+		@Override
+		public CompletableFuture<Message> queryAny(Message query) {
+			return CompletableFuture.completedFuture(TableFollowerTests.this.peerReply);
+		}
+
+		@Override
+		public CompletableFuture<Message> query(String address, Message query) {
+			return queryAny(query);
+		}
+
+		@Override
+		public void notifySome(Message notice) {
+			TableFollowerTests.this.notices.add(notice);
+		}
+
+	}
+
 	/**
 	 * A table in memory that can be unavailable and can expire its records.
 	 */
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -34,7 +34,7 @@
  * replaced at the next use. Every request completes or fails within its timeout, whatever
  * the peer does. This class is thread-safe.
  */
-public final class PeerNetwork implements AutoCloseable {
+public final class PeerNetwork implements PeerTransport {
 
 	private static final int MAX_FRAME_BYTES = 32 * 1024 * 1024;
 
@@ -73,12 +73,7 @@
 		this.handler = handler;
 	}
 
-	/**
-	 * Starts to accept connections from peers.
-	 * @param host the local address to bind to
-	 * @param port the port, 0 for any free one
-	 * @return the port that the socket is bound to
-	 */
+	@Override
 	public int listen(String host, int port) {
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
@@ -106,24 +101,12 @@
 		pipeline.addLast(connection);
 	}
 
-	/**
-	 * Sends a message that needs no reply; it is lost if the peer cannot be reached or
-	 * does not keep up.
-	 * @param address the peer's host and port
-	 * @param message the message
-	 */
+	@Override
 	public void send(String address, Message message) {
 		connect(address).thenAccept((connection) -> connection.send(message));
 	}
 
-	/**
-	 * Sends a message and returns its reply.
-	 * @param address the peer's host and port
-	 * @param message the message
-	 * @param timeoutMillis the timeout of connecting and of the reply together, in
-	 * milliseconds
-	 * @return a future that fails if the peer cannot be reached or does not reply in time
-	 */
+	@Override
 	public CompletableFuture<Message> request(String address, Message message, long timeoutMillis) {
 		return connect(address).thenCompose((connection) -> connection.request(message, timeoutMillis))
 			.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -169,10 +152,7 @@
 		return connection.authenticated();
 	}
 
-	/**
-	 * Returns the counters of messages and bytes on all connections to peers.
-	 * @return the counters
-	 */
+	@Override
 	public PeerTraffic traffic() {
 		return this.traffic;
 	}
