Share the retry reserve among the instances that are known

Change: an instance's reserve is half of the common one divided by the instances in the platform's table, full at the start, at least one.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/RelayProcess.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/RelayProcess.java
@@ -95,7 +95,8 @@
 			return String.join("\n", "node=" + this.name, "zone=" + this.zone, "ip=" + this.host,
 					"listen.front=" + callerAddress(), "listen.ready=" + this.host + ":" + READINESS_PORT,
 					"portRange=" + PEER_PORT + "," + PEER_PORT, "seeds=" + String.join(",", this.seeds),
-					"platform.address=" + storeAddress, "bounds.graceS=8", "bounds.retryBudgetRatio=0.2", "");
+					"platform.address=" + storeAddress, "bounds.graceS=8", "bounds.retryBudgetRatio=0.2",
+					"bounds.budgetSlack=260", "");
 		}
 
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -165,6 +165,15 @@
 		return current != null && String.valueOf(current.entry.lifetime()).equals(bootId);
 	}
 
+	/**
+	 * Returns how many entry instances have published themselves; those that ended
+	 * without notice count too.
+	 * @return the number, at least 1
+	 */
+	public int instanceCount() {
+		return Math.max(1, this.instances.size());
+	}
+
 	/**
 	 * Returns the addresses of the other entry instances.
 	 * @param self the address of this instance
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -97,7 +97,7 @@
 		HttpExchanger exchanger = new HttpExchanger(this.loop);
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
-				platform.retryRatio());
+				new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
 		this.metrics = this.relay.metrics();
 		this.metrics.registerGauge("connections.opened", exchanger::openedConnections);
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -50,7 +50,7 @@
 
 	private final EventLoop loop;
 
-	private final double retriesPer100Requests;
+	private final RetryLimit retryLimit;
 
 	private final RelayMetrics metrics = new RelayMetrics();
 
@@ -66,17 +66,17 @@
 	 * @param exchanger the HTTP client for endpoints
 	 * @param protocol the wire format of endpoints
 	 * @param loop the event loop
-	 * @param retryRatio the retries that a service's budget earns per request
+	 * @param retryLimit the retries that a service bears
 	 */
 	public RelayService(Node node, ActiveRouting routing, PublishedEntries entries, HttpExchanger exchanger,
-			EndpointProtocol protocol, EventLoop loop, double retryRatio) {
+			EndpointProtocol protocol, EventLoop loop, RetryLimit retryLimit) {
 		this.node = node;
 		this.routing = routing;
 		this.entries = entries;
 		this.exchanger = exchanger;
 		this.protocol = protocol;
 		this.loop = loop;
-		this.retriesPer100Requests = retryRatio * PERCENT;
+		this.retryLimit = retryLimit;
 	}
 
 	/**
@@ -166,7 +166,7 @@
 	}
 
 	void earnRetry(String service) {
-		retryBudget(service).earn(this.retriesPer100Requests);
+		retryBudget(service).earn(this.retryLimit.ratio() * PERCENT);
 	}
 
 	boolean trySpendRetry(String service) {
@@ -174,7 +174,8 @@
 	}
 
 	private RetryBudget retryBudget(String service) {
-		return this.retryBudgets.computeIfAbsent(service, (name) -> new RetryBudget());
+		return this.retryBudgets.computeIfAbsent(service,
+				(name) -> RetryBudget.shared(this.retryLimit.reserve(), this.entries::instanceCount));
 	}
 
 	/**
@@ -188,4 +189,13 @@
 		this.node.gossiper().broadcastAndConfirm().subscribe();
 	}
 
+	/**
+	 * The retries that a service bears from all instances together.
+	 *
+	 * @param ratio the retries per request
+	 * @param reserve the retries beyond that in the window in which they are counted
+	 */
+	public record RetryLimit(double ratio, double reserve) {
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/TeamLimits.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/TeamLimits.java
@@ -65,7 +65,7 @@
 	 * @return the budget
 	 */
 	public RetryBudget retryBudget(TeamId team) {
-		return this.retryBudgets.computeIfAbsent(team, (key) -> new RetryBudget());
+		return this.retryBudgets.computeIfAbsent(team, (key) -> RetryBudget.local());
 	}
 
 }
