Read the store less often and tell all instances of a new home

Change: waits and pauses of reads grow with the instances, up to 15, 10 and 20 s at 50; heartbeats bound the age of the operators' table. An endpoint that only its home has read of may be used. A new home tells all instances once, and a refusal by all known homes is not final, for 1.5 s, while a zone with endpoints has never had a home. FleetStartTests and GrantClientTests fail without it.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -5,10 +5,12 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.poplarloom.core.AvailabilityZone;
@@ -212,6 +214,16 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the zones of which a shard's home has been heard, recently or not.
+	 * @return the zones
+	 */
+	public synchronized Set<AvailabilityZone> zonesWithShards() {
+		Set<AvailabilityZone> zones = new HashSet<>();
+		this.shards.keySet().forEach((shard) -> zones.add(shard.zone()));
+		return zones;
+	}
+
 	/**
 	 * Returns the members to send to a peer of the same zone.
 	 * @param nowMillis the local time in milliseconds
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -191,6 +191,14 @@
 				: Optional.of(candidates.get(this.random.nextInt(candidates.size())));
 	}
 
+	/**
+	 * Tells all instances which shards this instance is the home of.
+	 */
+	public void announceHomes() {
+		this.membership.mergeShards(this.homes.statuses(), this.clock.nowMillis());
+		broadcast();
+	}
+
 	/**
 	 * Sends gossip to all instances at once, for urgent news.
 	 */
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
@@ -18,6 +18,7 @@
 import org.poplarloom.core.version.ConfigurationState;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ActiveConfiguration;
+import org.poplarloom.port.InstanceListPort.ListedInstance;
 
 /**
  * Chooses the home to which a request for a grant is sent. A home is the instance that
@@ -38,10 +39,13 @@
 
 	private final ActiveConfiguration activeConfiguration;
 
+	private final EndpointDirectory directory;
+
 	private final Clock clock;
 
 	public HomeSelector(Settings settings, MembershipTable membership, ActiveConfiguration activeConfiguration,
-			Clock clock) {
+			EndpointDirectory directory, Clock clock) {
+		this.directory = directory;
 		this.settings = settings;
 		this.membership = membership;
 		this.activeConfiguration = activeConfiguration;
@@ -138,6 +142,21 @@
 			.orElse(new HomeSummary(1, 1, 0, 0, false));
 	}
 
+	/**
+	 * Returns whether every zone that has endpoints and is not out has had a home since
+	 * this instance started; until then a refusal by all known homes is not final.
+	 * @return false if this instance has not heard of the homes of a zone yet
+	 */
+	public boolean hasHeardOfAllZones() {
+		ConfigurationState state = this.activeConfiguration.state();
+		Set<AvailabilityZone> heardOf = this.membership.zonesWithShards();
+		return this.directory.listed()
+			.stream()
+			.filter((entry) -> entry.kind().equals(ListedInstance.ENGINE) && !entry.isLeaving())
+			.map((entry) -> AvailabilityZone.of(entry.zone()))
+			.allMatch((zone) -> heardOf.contains(zone) || state.isZoneOut(zone));
+	}
+
 	/**
 	 * Finds the current home of a shard.
 	 * @param shard the shard
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -81,6 +81,9 @@
 
 	private volatile boolean mayTakeOver;
 
+	private volatile Runnable readyListener = () -> {
+	};
+
 	public LocalHomes(Settings settings, MembershipTable membership, EndpointDirectory directory,
 			EndpointPort endpoints, InstanceView instances, ActiveConfiguration activeConfiguration, Clock clock,
 			Supplier<PlacementPolicy> placementPolicies) {
@@ -101,6 +104,14 @@
 		this.homes.values().forEach((home) -> sendDecisions(home.shardHome().setOut(isOut, now)));
 	}
 
+	/**
+	 * Sets what is called when a new home can grant its first endpoints.
+	 * @param listener the listener
+	 */
+	public void onReady(Runnable listener) {
+		this.readyListener = listener;
+	}
+
 	/**
 	 * Lets this instance take over shards from now on. Until it has looked for other
 	 * instances, it would take itself for the home of every shard.
@@ -217,8 +228,12 @@
 		}
 		List<HomeDecision> decisions = home.shardHome().observe(reports, outEndpoints, this.clock.nowMillis());
 		home.shardHome().raiseFencingToken(this.settings.instance());
+		boolean isReadyNow = !reports.isEmpty() && !home.hasReports();
 		home.recordReports(!reports.isEmpty());
 		sendDecisions(decisions);
+		if (isReadyNow) {
+			this.readyListener.run();
+		}
 		home.shardHome().orphans(this.clock.nowMillis()).forEach(this::cancelOrphan);
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -134,10 +134,12 @@
 		this.instances = new InstanceView(this.membership, this.directory, this.clock);
 		this.localHomes = new LocalHomes(this.settings, this.membership, this.directory, this.ports.endpoints(),
 				this.instances, this.activeConfiguration, this.clock, this.placementPolicies);
-		this.selector = new HomeSelector(this.settings, this.membership, this.activeConfiguration, this.clock);
+		this.selector = new HomeSelector(this.settings, this.membership, this.activeConfiguration, this.directory,
+				this.clock);
 		this.grantClient = new GrantClient(this.selector, this, this.clock);
 		this.gossiper = new Gossiper(this.settings, this.membership, this.activeConfiguration, this.crashes,
 				this.instances, this.localHomes, this, this.clock);
+		this.localHomes.onReady(this.gossiper::announceHomes);
 		runPeriodically(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this::followMembership);
 		this.runtime.tasks().execute(this::tickHomes);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -52,6 +52,9 @@
 	 */
 	private static final int MAX_LOGGED_ENTRIES = 12;
 
+	/** Longer than any home grants an endpoint whose removal it has not read. */
+	private static final long REMOVAL_MEMORY_MILLIS = 600_000;
+
 	private final ActiveRouting routing;
 
 	private final Clock clock;
@@ -60,6 +63,8 @@
 
 	private final Map<String, ListedInstance> instances = new ConcurrentHashMap<>();
 
+	private final Map<String, Long> removedMillis = new ConcurrentHashMap<>();
+
 	public PublishedEntries(ActiveRouting routing, Clock clock) {
 		this.routing = routing;
 		this.clock = clock;
@@ -78,6 +83,7 @@
 				changed.add(entry);
 			}
 			this.endpoints.put(entry.endpoint().value(), new ReceivedEntry(entry, this.clock.nowMillis()));
+			this.removedMillis.remove(entry.endpoint().value());
 		}
 		if (changed.size() > MAX_LOGGED_ENTRIES) {
 			logger.info("event=endpoints_listed changed={} known={}", changed.size(), this.endpoints.size());
@@ -109,6 +115,9 @@
 	public void remove(String id, long removedMillis) {
 		ReceivedEntry current = this.endpoints.get(id);
 		if (current != null && current.receivedMillis <= removedMillis && this.endpoints.remove(id, current)) {
+			long now = this.clock.nowMillis();
+			this.removedMillis.values().removeIf((removal) -> removal + REMOVAL_MEMORY_MILLIS < now);
+			this.removedMillis.put(id, now);
 			logger.info("endpoint={} event=gone silent_ms={}", id, this.clock.nowMillis() - current.receivedMillis);
 		}
 	}
@@ -145,13 +154,14 @@
 	}
 
 	/**
-	 * Returns whether an endpoint takes new work.
+	 * Returns whether an endpoint that a home has granted may be used.
 	 * @param endpoint the endpoint
-	 * @return false if it is draining or unknown
+	 * @return false if it is known to be draining or gone; true for an endpoint that only
+	 * the home has read of so far
 	 */
-	public boolean isServing(EndpointId endpoint) {
+	public boolean mayServe(EndpointId endpoint) {
 		ReceivedEntry current = this.endpoints.get(endpoint.value());
-		return current != null && !current.entry.isDraining();
+		return (current != null) ? !current.entry.isDraining() : !this.removedMillis.containsKey(endpoint.value());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -41,17 +41,29 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayTables.class);
 
-	/** A read returns as soon as there is a new record. */
-	private static final TableFollower.Timing OPERATOR_TIMING = new TableFollower.Timing(4_000, 20);
+	/**
+	 * The pause after a read of the operators' table, which itself waits for a record.
+	 */
+	private static final long OPERATOR_PAUSE_MILLIS = 20;
 
-	/** A home must stop granting an endpoint within 2 s after it starts to drain. */
-	private static final TableFollower.Timing HOME_ENDPOINT_TIMING = new TableFollower.Timing(0, 900);
+	/** The waits and pauses of small deployments. */
+	private static final long MIN_OPERATOR_WAIT_MILLIS = 4_000;
+
+	private static final long MIN_ENDPOINT_PAUSE_MILLIS = 4_000;
 
-	/** An instance that is no home keeps its copy recent enough to become one quickly. */
-	private static final TableFollower.Timing NON_HOME_ENDPOINT_TIMING = new TableFollower.Timing(0, 4_000);
+	private static final long MIN_STATUS_PAUSE_MILLIS = 8_000;
 
-	/** Instances that are not in the table yet introduce themselves to those that are. */
-	private static final TableFollower.Timing STATUS_TIMING = new TableFollower.Timing(0, 8_000);
+	/** The store's reads grow slower than the number of instances up to this number. */
+	private static final int MAX_STRETCHING_INSTANCES = 50;
+
+	private static final long OPERATOR_WAIT_MILLIS_PER_INSTANCE = 300;
+
+	private static final long ENDPOINT_PAUSE_MILLIS_PER_INSTANCE = 200;
+
+	private static final long STATUS_PAUSE_MILLIS_PER_INSTANCE = 400;
+
+	/** A home must stop granting an endpoint within 2 s after it starts to drain. */
+	private static final TableFollower.Timing HOME_ENDPOINT_TIMING = new TableFollower.Timing(0, 900);
 
 	private static final long PEER_TIMEOUT_MILLIS = 600;
 
@@ -115,7 +127,7 @@
 	 * Starts to read the tables and publishes this instance's entry.
 	 */
 	void start() {
-		this.operatorTable = follow(Tables.OPERATORS, () -> OPERATOR_TIMING, NOTIFIED_PEERS,
+		this.operatorTable = follow(Tables.OPERATORS, this::operatorTiming, NOTIFIED_PEERS,
 				(records) -> records.forEach(this::applyOperatorRecord));
 		this.node.gossiper().announce(this.operatorTable);
 		this.endpointTable = follow(Tables.WORKERS, this::endpointTiming, 0, this::applyEndpointRecords);
@@ -144,8 +156,28 @@
 		return (table != null) ? table.ageMillis() : 0;
 	}
 
+	// Heartbeats name newer records, so in a large deployment each instance may wait
+	// longer.
+	private TableFollower.Timing operatorTiming() {
+		return new TableFollower.Timing(stretched(MIN_OPERATOR_WAIT_MILLIS, OPERATOR_WAIT_MILLIS_PER_INSTANCE),
+				OPERATOR_PAUSE_MILLIS);
+	}
+
+	// An instance that is no home keeps its copy recent enough to become one quickly.
 	private TableFollower.Timing endpointTiming() {
-		return this.node.localHomes().isEmpty() ? NON_HOME_ENDPOINT_TIMING : HOME_ENDPOINT_TIMING;
+		return this.node.localHomes().isEmpty()
+				? new TableFollower.Timing(0, stretched(MIN_ENDPOINT_PAUSE_MILLIS, ENDPOINT_PAUSE_MILLIS_PER_INSTANCE))
+				: HOME_ENDPOINT_TIMING;
+	}
+
+	// Instances that are not in the table yet introduce themselves to those that are.
+	private TableFollower.Timing statusTiming() {
+		return new TableFollower.Timing(0, stretched(MIN_STATUS_PAUSE_MILLIS, STATUS_PAUSE_MILLIS_PER_INSTANCE));
+	}
+
+	private long stretched(long minMillis, long millisPerInstance) {
+		int instances = Math.min(MAX_STRETCHING_INSTANCES, this.entries.instanceCount());
+		return Math.max(minMillis, instances * millisPerInstance);
 	}
 
 	private TableFollower follow(String table, Supplier<TableFollower.Timing> timing, int notifiedPeers,
@@ -176,7 +208,7 @@
 			return;
 		}
 		this.instancesFollowed = true;
-		follow(Tables.STATUS, () -> STATUS_TIMING, 0, this::applyInstanceRecords);
+		follow(Tables.STATUS, this::statusTiming, 0, this::applyInstanceRecords);
 	}
 
 	private void applyInstanceRecords(List<KeyedTablePort.Entry> records) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
@@ -108,7 +108,7 @@
 			grantClient().release(grant, null);
 			return;
 		}
-		if (!this.service.entries().isServing(grant.grant().answeringEndpoint())) {
+		if (!this.service.entries().mayServe(grant.grant().answeringEndpoint())) {
 			grantClient().release(grant, null);
 			this.criteria.excluded().add(grant.grant().answeringEndpoint());
 			start();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -62,6 +62,9 @@
 
 	private static final long MAX_SEARCH_MILLIS = 15_000;
 
+	/** After a start, homes of other zones are heard of within their gossip period. */
+	private static final long MAX_HOME_DISCOVERY_MILLIS = 1_500;
+
 	private static final long ANNOUNCE_TIMEOUT_MILLIS = 1_000;
 
 	private static final long MIN_TIMEOUT_MILLIS = 1;
@@ -167,7 +170,9 @@
 		}
 		long now = this.clock.nowMillis();
 		boolean isTimeUp = now >= request.deadlineMillis() || now - search.startedMillis >= MAX_SEARCH_MILLIS;
-		if (isTimeUp || search.isRefusalFinal()) {
+		boolean mayHearOfHomes = now - search.startedMillis < MAX_HOME_DISCOVERY_MILLIS
+				&& !this.selector.hasHeardOfAllZones();
+		if (isTimeUp || (search.isRefusalFinal() && !mayHearOfHomes)) {
 			ErrorCode code = (search.refusalCode != null) ? search.refusalCode : ErrorCode.NO_ENDPOINT;
 			return Mono.error(new PoplarloomException(code, org.poplarloom.core.Executed.NO,
 					"no home gives a grant: " + code.text(), search.retryAfterMillis));
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/FleetStartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/FleetStartTests.java
@@ -1,9 +1,16 @@
 package org.poplarloom.entry.process;
 
+import java.util.List;
+
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.poplarloom.platform.ConfigurationFormat;
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.standin.CallerStandIn;
+import org.poplarloom.platform.standin.WorkerStandIn;
+
 /**
  * Starts all instances of a zone at the same time, as after a kill of the whole fleet,
  * and counts the homes of the zone's only shard.
@@ -21,6 +28,8 @@
 
 	private static final long WATCHED_MILLIS = 12_000;
 
+	private static final List<String> ZONES = List.of("norte-a", "norte-b", "norte-c");
+
 	private long overlapMillis;
 
 	private long lastWithoutHomeMillis;
@@ -40,6 +49,25 @@
 				"no home until " + this.lastWithoutHomeMillis + " ms, seed " + seed);
 	}
 
+	@Test
+	public void instancesOfOtherZonesKnowAllHomesWithinASecond() {
+		SimulatedFleet fleet = new SimulatedFleet(7);
+		fleet.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION_KEY,
+				CallerStandIn.configuration(1, "model", "app"));
+		for (String zone : ZONES) {
+			fleet.put(Tables.WORKERS, "i-" + zone, WorkerStandIn.entry("model", zone, "ready", "10.1.0.1:80"));
+		}
+		for (int i = 0; i < 15; i++) {
+			fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
+		}
+		fleet.advance(MAX_WITHOUT_HOME_MILLIS, (elapsed) -> {
+		});
+		for (SimulatedFleet.Instance instance : fleet.instances()) {
+			ZONES.forEach((zone) -> Assert.assertTrue(instance.knowsHomeOf(zone),
+					"an instance of " + instance.zone() + " knows no home of " + zone));
+		}
+	}
+
 	@Test
 	public void aHomeIsFoundWhenTheStoreIsSilent() {
 		SimulatedFleet fleet = new SimulatedFleet(1);
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
@@ -45,15 +45,26 @@
 		Assert.assertTrue(entries.update(List.of(ready, entry("i-2", false))));
 		Assert.assertFalse(entries.update(List.of(ready)));
 		Assert.assertTrue(entries.update(List.of(entry("i-1", true))));
-		Assert.assertFalse(entries.isServing(EndpointId.of("i-1")));
-		Assert.assertTrue(entries.isServing(EndpointId.of("i-2")));
+		Assert.assertFalse(entries.mayServe(EndpointId.of("i-1")));
+		Assert.assertTrue(entries.mayServe(EndpointId.of("i-2")));
 	}
 
 	@Test
 	public void theLastOfSeveralEntriesOfAnEndpointHolds() {
 		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), Clock.steady());
 		Assert.assertTrue(entries.update(List.of(entry("i-1", true), entry("i-1", false))));
-		Assert.assertTrue(entries.isServing(EndpointId.of("i-1")));
+		Assert.assertTrue(entries.mayServe(EndpointId.of("i-1")));
+	}
+
+	@Test
+	public void anEndpointThatOnlyTheHomeKnowsMayServeButOneThatIsGoneMayNot() {
+		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), () -> 1_000);
+		Assert.assertTrue(entries.mayServe(EndpointId.of("i-1")));
+		entries.update(List.of(entry("i-1", false)));
+		entries.remove("i-1", 1_000);
+		Assert.assertFalse(entries.mayServe(EndpointId.of("i-1")));
+		entries.update(List.of(entry("i-1", false)));
+		Assert.assertTrue(entries.mayServe(EndpointId.of("i-1")));
 	}
 
 	private static EndpointEntry entry(String id, boolean isDraining) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -224,6 +224,10 @@
 			return !this.node.localHomes().isEmpty();
 		}
 
+		boolean knowsHomeOf(String otherZone) {
+			return this.node.membership().zonesWithShards().contains(AvailabilityZone.of(otherZone));
+		}
+
 		long configurationVersion() {
 			return this.routing.table().map((table) -> table.version()).orElse(0L);
 		}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
@@ -12,6 +12,7 @@
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
@@ -33,9 +34,11 @@
 import org.poplarloom.core.usage.OwnerKey;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.process.Clock;
+import org.poplarloom.entry.process.EndpointDirectory;
 import org.poplarloom.entry.process.HomeSelector;
 import org.poplarloom.entry.process.Peers;
 import org.poplarloom.entry.version.ActiveConfiguration;
+import org.poplarloom.port.InstanceListPort.ListedInstance;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -57,6 +60,12 @@
 
 	private final Clock clock = Clock.steady();
 
+	private final List<ListedInstance> listed = new ArrayList<>();
+
+	private EndpointDirectory directory;
+
+	private MembershipTable membership;
+
 	private ScriptedHomes homes;
 
 	private GrantClient client;
@@ -65,13 +74,16 @@
 	public void createClient() {
 		Settings settings = new Settings(SELF, LOCAL_ZONE, "127.0.0.1", 0, 1, "", "", "0123456789abcdef", "", 1, 60_000,
 				1, ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none");
-		MembershipTable membership = MembershipTable.of(new Member(SELF, LOCAL_ZONE, "127.0.0.1:1", 1, 0, false),
-				60_000);
+		this.listed.clear();
+		this.directory = new EndpointDirectory(LOCAL_ZONE, (zone) -> Mono.just(List.copyOf(this.listed)),
+				(address) -> Mono.empty(), this.clock);
+		this.membership = MembershipTable.of(new Member(SELF, LOCAL_ZONE, "127.0.0.1:1", 1, 0, false), 60_000);
 		ShardStatus far = new ShardStatus(new ShardId(AvailabilityZone.of("norte-b"), 0), FAR, "127.0.0.1:2",
 				this.clock.nowMillis(), new HomeSummary(4, 44, 1, 0, false));
-		membership.mergeShards(List.of(far), this.clock.nowMillis());
+		this.membership.mergeShards(List.of(far), this.clock.nowMillis());
 		this.homes = new ScriptedHomes();
-		this.client = new GrantClient(new HomeSelector(settings, membership, new ActiveConfiguration(), this.clock),
+		this.client = new GrantClient(
+				new HomeSelector(settings, this.membership, new ActiveConfiguration(), this.directory, this.clock),
 				this.homes, this.clock);
 	}
 
@@ -106,6 +118,32 @@
 		Assert.assertEquals(this.homes.requestCount(SELF), requestsBefore);
 	}
 
+	@Test
+	public void afterAStartARequestWaitsForTheHomeOfAZoneThatAloneHasTheService() {
+		InstanceId late = InstanceId.of("late");
+		this.listed.add(new ListedInstance("e1", ListedInstance.ENGINE, "norte-c", "127.0.0.1:4", false));
+		this.directory.refresh().block();
+		this.homes.replies.put(SELF, (acquire) -> new Message.GrantRefused(ErrorCode.NO_ENDPOINT, 0));
+		this.homes.replies.put(FAR, (acquire) -> new Message.GrantRefused(ErrorCode.NO_ENDPOINT, 0));
+		this.homes.replies.put(late, (acquire) -> granted(acquire, 1));
+		CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS)
+			.execute(
+					() -> this.membership.mergeShards(
+							List.of(new ShardStatus(new ShardId(AvailabilityZone.of("norte-c"), 0), late, "127.0.0.1:3",
+									this.clock.nowMillis(), new HomeSummary(1, 6, 0, 0, false))),
+							this.clock.nowMillis()));
+		Assert.assertEquals(this.client.acquire(request(null), "").block().home().home(), late);
+	}
+
+	@Test
+	public void aRefusalByAllHomesIsFinalWhenEveryZoneIsKnown() {
+		this.homes.replies.put(SELF, (acquire) -> new Message.GrantRefused(ErrorCode.NO_ENDPOINT, 0));
+		this.homes.replies.put(FAR, (acquire) -> new Message.GrantRefused(ErrorCode.NO_ENDPOINT, 0));
+		long startMillis = this.clock.nowMillis();
+		Assert.assertThrows(PoplarloomException.class, () -> this.client.acquire(request(null), "").block());
+		Assert.assertTrue(this.clock.nowMillis() - startMillis < 1_000);
+	}
+
 	@Test
 	public void aHomeThatIsNotBusyIsPreferredToABusyOne() {
 		this.homes.replies.put(SELF, (acquire) -> busy(900));
