Place homes on the larger instances of a zone

Change: members name the cores that the platform's settings give (limits.cpuShare x limits.cores); the home is chosen among those with at least half of the largest. While a member of an older version names none, all count as equal, as they do for that member. MembershipTableTests: 40 shards, 16 small and 3 large instances; without the change small ones win.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/CapacityExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/CapacityExperiment.java
@@ -301,7 +301,7 @@
 
 	private static Member member(int index) {
 		return new Member(InstanceId.of("gijon-entry-" + index), ZONE, "10.10.10." + index + ":8081",
-				1_796_000_000_000L, 100_000 + index, false);
+				1_796_000_000_000L, 100_000 + index, false, 1.5);
 	}
 
 	private static ShardStatus shardStatus(int index) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/Member.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/Member.java
@@ -15,9 +15,10 @@
  * @param incarnation when its process started, in milliseconds since the epoch
  * @param heartbeat the heartbeat sequence, which grows while the process runs
  * @param isDraining whether it is draining
+ * @param cpuCores the cores that it may use, 0 if unknown
  */
 public record Member(InstanceId id, AvailabilityZone zone, String address, long incarnation, long heartbeat,
-		boolean isDraining) {
+		boolean isDraining, double cpuCores) {
 
 	/**
 	 * Returns whether this is a newer state of the same instance.
@@ -45,7 +46,8 @@
 	 * @return the member
 	 */
 	public Member withHeartbeat(long newHeartbeat) {
-		return new Member(this.id, this.zone, this.address, this.incarnation, newHeartbeat, this.isDraining);
+		return new Member(this.id, this.zone, this.address, this.incarnation, newHeartbeat, this.isDraining,
+				this.cpuCores);
 	}
 
 	/**
@@ -53,7 +55,7 @@
 	 * @return a newer state of the member
 	 */
 	public Member withDraining() {
-		return new Member(this.id, this.zone, this.address, this.incarnation, this.heartbeat + 1, true);
+		return new Member(this.id, this.zone, this.address, this.incarnation, this.heartbeat + 1, true, this.cpuCores);
 	}
 
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -189,18 +189,28 @@
 	}
 
 	/**
-	 * Finds the home of a shard in the local zone by rendezvous hashing.
+	 * Finds the home of a shard in the local zone by rendezvous hashing. Small instances
+	 * are passed over while a larger one is live.
 	 * @param shard the shard
 	 * @param nowMillis the local time in milliseconds
-	 * @return the live member with the highest weight, or empty if there is none
+	 * @return the live member with the highest weight among those with at least half as
+	 * many cores as the largest, or empty if there is none
 	 */
 	public Optional<Member> home(ShardId shard, long nowMillis) {
 		List<Member> live = live(shard.zone(), nowMillis);
-		List<InstanceId> ids = live.stream().map(Member::id).toList();
+		List<InstanceId> ids = largest(live).stream().map(Member::id).toList();
 		Optional<InstanceId> chosen = RendezvousHashing.choose(shard.toString(), ids);
 		return chosen.flatMap((id) -> live.stream().filter((member) -> member.id().equals(id)).findFirst());
 	}
 
+	// While a member of an older version does not name its cores, all members count as
+	// equal, as they do for that member.
+	private static List<Member> largest(List<Member> live) {
+		double smallest = live.stream().mapToDouble(Member::cpuCores).min().orElse(0);
+		double most = live.stream().mapToDouble(Member::cpuCores).max().orElse(0);
+		return (smallest > 0) ? live.stream().filter((member) -> member.cpuCores() * 2 >= most).toList() : live;
+	}
+
 	/**
 	 * Returns the statuses of shard homes that were updated recently.
 	 * @param nowMillis the local time in milliseconds
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/MembershipTableTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/MembershipTableTests.java
@@ -1,8 +1,10 @@
 package org.poplarloom.core.process;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -23,7 +25,7 @@
 	private static final ShardId SHARD = new ShardId(ZONE, 0);
 
 	private static Member member(String id) {
-		return new Member(InstanceId.of(id), ZONE, "127.0.0.1:1", 1, 0, false);
+		return new Member(InstanceId.of(id), ZONE, "127.0.0.1:1", 1, 0, false, 0);
 	}
 
 	@Test
@@ -50,9 +52,9 @@
 	@Test
 	public void updateOfAnEarlierIncarnationIsIgnored() {
 		MembershipTable table = MembershipTable.of(member("a"), TIMEOUT_MILLIS);
-		Member later = new Member(InstanceId.of("b"), ZONE, "127.0.0.1:2", 2, 0, false);
+		Member later = new Member(InstanceId.of("b"), ZONE, "127.0.0.1:2", 2, 0, false, 0);
 		table.mergeMembers(List.of(later), 0);
-		table.mergeMembers(List.of(new Member(InstanceId.of("b"), ZONE, "127.0.0.1:1", 1, 99, false)), 10);
+		table.mergeMembers(List.of(new Member(InstanceId.of("b"), ZONE, "127.0.0.1:1", 1, 99, false, 0)), 10);
 		Assert.assertEquals(table.live(ZONE, 20).get(1).address(), "127.0.0.1:2");
 	}
 
@@ -106,4 +108,39 @@
 		Assert.assertTrue(rounds <= 30, "rounds " + rounds);
 	}
 
+	@Test
+	public void homeIsOnALargeInstanceWhileOneIsLive() {
+		for (int shard = 0; shard < 40; shard++) {
+			Assert.assertTrue(homeAmong(shard, 0, 0.36, 1.5).startsWith("large"));
+		}
+		Assert.assertTrue(homeAmong(0, 3_000, 0.36, 1.5).startsWith("small"), "large instances are silent");
+	}
+
+	@Test
+	public void sizeDoesNotCountWhileAMemberDoesNotNameIt() {
+		Set<String> withSizes = new HashSet<>();
+		Set<String> withoutSizes = new HashSet<>();
+		for (int shard = 0; shard < 40; shard++) {
+			withSizes.add(homeAmong(shard, 0, 0, 1.5));
+			withoutSizes.add(homeAmong(shard, 0, 0, 0));
+		}
+		Assert.assertEquals(withSizes, withoutSizes);
+	}
+
+	private static String homeAmong(int shard, long largeSilentMillis, double smallCores, double largeCores) {
+		long now = 10_000;
+		MembershipTable table = MembershipTable.of(sized("small-0", smallCores), TIMEOUT_MILLIS);
+		for (int i = 1; i < 16; i++) {
+			table.mergeMembers(List.of(sized("small-" + i, smallCores)), now);
+		}
+		for (int i = 0; i < 3; i++) {
+			table.mergeMembers(List.of(sized("large-" + i, largeCores)), now - largeSilentMillis);
+		}
+		return table.home(new ShardId(ZONE, shard), now).orElseThrow().id().value();
+	}
+
+	private static Member sized(String id, double cpuCores) {
+		return new Member(InstanceId.of(id), ZONE, "127.0.0.1:1", 1, 0, false, cpuCores);
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
@@ -31,11 +31,12 @@
  * @param ownerKey the key that signs the instance's usage pages
  * @param traceExport the target of trace spans: {@code none}, {@code log} or the URL of
  * an OTLP collector
+ * @param cpuCores the cores that the process may use, 0 if unknown
  */
 public record Settings(InstanceId instance, AvailabilityZone zone, String host, int httpPort, int peerPort,
 		String logAddress, String listAddress, String peerKey, String operatorToken, int shardsPerZone,
 		long failureTimeoutMillis, long settleMillis, ColdStartRamp.Settings ramp, long bodyBudgetBytes,
-		long drainMillis, OwnerKey ownerKey, String traceExport) {
+		long drainMillis, OwnerKey ownerKey, String traceExport, double cpuCores) {
 
 	@Override
 	public String toString() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -77,7 +77,7 @@
 		}
 		return new Settings(instance, zone, options.host(), httpPort, peerPort, logAddress, listAddress, peerKey,
 				operatorToken, shardsPerZone, failureTimeoutMillis, settleMillis, ramp, bodyBudgetBytes, drainMillis,
-				ownerKey, options.traceExport());
+				ownerKey, options.traceExport(), 0);
 	}
 
 	/**
@@ -102,7 +102,7 @@
 		}
 		return new Settings(instance, zone, platform.host(), metricsPort, platform.peerPort(), platform.storeAddress(),
 				"", peerKey, "", shardsPerZone, failureTimeoutMillis, settleMillis, ramp, 0, platform.graceMillis(),
-				OwnerKey.none(), options.traceExport());
+				OwnerKey.none(), options.traceExport(), platform.cpuCores());
 	}
 
 	private ColdStartRamp.Settings ramp(Options options) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -129,7 +129,7 @@
 	public void start() {
 		int port = this.network.listen(this.settings.host(), this.settings.peerPort());
 		Member self = new Member(this.settings.instance(), this.settings.zone(), this.settings.host() + ":" + port,
-				this.clock.nowMillis(), 0, false);
+				this.clock.nowMillis(), 0, false, this.settings.cpuCores());
 		this.membership = MembershipTable.of(self, this.settings.failureTimeoutMillis());
 		this.instances = new InstanceView(this.membership, this.directory, this.clock);
 		this.localHomes = new LocalHomes(this.settings, this.membership, this.directory, this.ports.endpoints(),
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
@@ -73,11 +73,11 @@
 	@BeforeMethod
 	public void createClient() {
 		Settings settings = new Settings(SELF, LOCAL_ZONE, "127.0.0.1", 0, 1, "", "", "0123456789abcdef", "", 1, 60_000,
-				1, ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none");
+				1, ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none", 0);
 		this.listed.clear();
 		this.directory = new EndpointDirectory(LOCAL_ZONE, (zone) -> Mono.just(List.copyOf(this.listed)),
 				(address) -> Mono.empty(), this.clock);
-		this.membership = MembershipTable.of(new Member(SELF, LOCAL_ZONE, "127.0.0.1:1", 1, 0, false), 60_000);
+		this.membership = MembershipTable.of(new Member(SELF, LOCAL_ZONE, "127.0.0.1:1", 1, 0, false, 0), 60_000);
 		ShardStatus far = new ShardStatus(new ShardId(AvailabilityZone.of("norte-b"), 0), FAR, "127.0.0.1:2",
 				this.clock.nowMillis(), new HomeSummary(4, 44, 1, 0, false));
 		this.membership.mergeShards(List.of(far), this.clock.nowMillis());
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -55,7 +55,7 @@
 	@DataProvider
 	public static Object[] messages() {
 		InstanceId instance = InstanceId.of("i1");
-		Member member = new Member(instance, AvailabilityZone.of("gijon"), "127.0.0.1:1", 5, 6, true);
+		Member member = new Member(instance, AvailabilityZone.of("gijon"), "127.0.0.1:1", 5, 6, true, 1.5);
 		ShardStatus status = new ShardStatus(SHARD, instance, "127.0.0.1:1", 7, new HomeSummary(1, 2, 3, 4, false));
 		return new Object[] { new Message.Challenge("n"), new Message.Hello(instance, "p", "n"),
 				new Message.Welcome(instance, "p"), new Message.Failure(ErrorCode.NOT_HOME, "t"),
