--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EventBuffer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EventBuffer.java
@@ -22,6 +22,11 @@
 
 	private final ByteBuf pending = Unpooled.buffer();
 
+	/** Bytes after the reader index that have been searched for the end of the event. */
+	private int searchedBytes;
+
+	private boolean lineEmpty;
+
 	/**
 	 * Appends bytes to the buffer.
 	 * @param content the bytes
@@ -34,6 +39,8 @@
 		while (end >= 0) {
 			byte[] bytes = new byte[end - this.pending.readerIndex()];
 			this.pending.readBytes(bytes);
+			this.searchedBytes = 0;
+			this.lineEmpty = false;
 			events.add(new Event(id(bytes), bytes));
 			end = endOfEvent();
 		}
@@ -43,17 +50,16 @@
 
 	// An event ends with an empty line; a line ends with LF or CR LF.
 	private int endOfEvent() {
-		boolean isLineEmpty = false;
-		for (int i = this.pending.readerIndex(); i < this.pending.writerIndex(); i++) {
-			byte next = this.pending.getByte(i);
+		for (; this.searchedBytes < this.pending.readableBytes(); this.searchedBytes++) {
+			byte next = this.pending.getByte(this.pending.readerIndex() + this.searchedBytes);
 			if (next == '\n') {
-				if (isLineEmpty) {
-					return i + 1;
+				if (this.lineEmpty) {
+					return this.pending.readerIndex() + this.searchedBytes + 1;
 				}
-				isLineEmpty = true;
+				this.lineEmpty = true;
 			}
 			else if (next != '\r') {
-				isLineEmpty = false;
+				this.lineEmpty = false;
 			}
 		}
 		return -1;
@@ -73,6 +79,14 @@
 		return RelayRequest.NO_EVENT;
 	}
 
+	/**
+	 * Returns the size of the event that is not complete yet.
+	 * @return the bytes received of it, 0 or more
+	 */
+	int pendingBytes() {
+		return this.pending.readableBytes();
+	}
+
 	/**
 	 * Returns and removes the bytes after the last complete event.
 	 * @return the bytes, empty if there are none
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -25,6 +25,9 @@
 	/** Limit for answers that are not streamed, since these are buffered in memory. */
 	private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
+	/** Events hold some hundred bytes; one that never ends must not fill the memory. */
+	private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
 	/** Maps the home's priorities 10 to 30 to the engine's ranks 5 to 1. */
 	private static final int RANK_AT_PRIORITY_ZERO = 7;
 
@@ -128,11 +131,13 @@
 			for (EventBuffer.Event event : this.events.add(content)) {
 				this.run.writeEvent(this.head, event);
 			}
+			if (this.events.pendingBytes() > MAX_EVENT_BYTES) {
+				failTooLarge("event", MAX_EVENT_BYTES);
+			}
 			return;
 		}
 		if (this.body.size() + content.readableBytes() > MAX_BODY_BYTES) {
-			this.exchange.cancel();
-			fail(AttemptFailure.executionUnknown("answer is larger than " + MAX_BODY_BYTES + " bytes", false), null);
+			failTooLarge("answer", MAX_BODY_BYTES);
 			return;
 		}
 		byte[] bytes = new byte[content.readableBytes()];
@@ -140,6 +145,11 @@
 		this.body.writeBytes(bytes);
 	}
 
+	private void failTooLarge(String part, int maxBytes) {
+		this.exchange.cancel();
+		fail(AttemptFailure.executionUnknown(part + " is larger than " + maxBytes + " bytes", false), null);
+	}
+
 	private boolean isStream() {
 		return this.replyKind == Reply.ANSWER && this.run.route().isStream()
 				&& this.head.status().equals(HttpResponseStatus.OK);
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -28,6 +28,12 @@
 
 	private static final int MIN_FINAL_STATUS = 200;
 
+	/** A server sends one or two of them; more are no sound protocol. */
+	private static final int MAX_INTERIM_RESPONSES = 16;
+
+	/** A response to another request is skipped up to this size. */
+	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
 	private final HttpExchanger exchanger;
 
 	private final String address;
@@ -42,6 +48,10 @@
 
 	private boolean isSkippingResponse;
 
+	private int interimResponses;
+
+	private int skippedBytes;
+
 	private boolean isReuseForbidden;
 
 	private long reusableUntilNanos;
@@ -76,6 +86,7 @@
 	private void write(CurrentExchange next) {
 		next.isSent = true;
 		this.hasResponseStarted = false;
+		this.interimResponses = 0;
 		this.isKeepAlive = false;
 		this.context.writeAndFlush(next.request).addListener((result) -> {
 			if (!result.isSuccess()) {
@@ -117,6 +128,9 @@
 		}
 		if (message instanceof HttpResponse head) {
 			if (head.status().code() < MIN_FINAL_STATUS) {
+				if (++this.interimResponses > MAX_INTERIM_RESPONSES) {
+					fail("more than " + MAX_INTERIM_RESPONSES + " interim responses", null);
+				}
 				return;
 			}
 			this.hasResponseStarted = true;
@@ -127,6 +141,10 @@
 		}
 		if (message instanceof HttpContent content && this.current != null && this.hasResponseStarted) {
 			if (this.isSkippingResponse) {
+				this.skippedBytes += content.content().readableBytes();
+				if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+					fail("response to another request is larger than " + MAX_SKIPPED_BYTES + " bytes", null);
+				}
 				return;
 			}
 			if (content.content().isReadable()) {
