Read only small frames until a peer is authenticated

Cause: a stranger could announce frames of 32 MB on each connection to the peers' port, before it proved that it knows the key; five of them fill the heap. PeerNetworkTests: a stranger's frame of 16 MB closes the connection (the limit was 32 MB); twenty messages of 1 MB between peers that know the key still arrive.

--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
@@ -192,6 +192,7 @@
 	}
 
 	private void completeHandshake(InstanceId authenticatedPeer) {
+		this.context.pipeline().replace(PeerFrames.NAME, PeerFrames.NAME, PeerFrames.ofAuthenticatedPeer());
 		this.peer = authenticatedPeer;
 		this.authenticated.complete(this);
 	}
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -17,11 +17,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.wire.connection.PeerConnection;
+import org.poplarloom.wire.connection.PeerFrames;
 import org.poplarloom.wire.connection.PeerHandler;
 import org.poplarloom.wire.connection.PeerKey;
 import org.poplarloom.wire.connection.PeerTraffic;
@@ -36,10 +35,6 @@
  */
 public final class PeerNetwork implements PeerTransport {
 
-	private static final int MAX_FRAME_BYTES = 32 * 1024 * 1024;
-
-	private static final int LENGTH_BYTES = 4;
-
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(1024 * 1024,
@@ -96,8 +91,8 @@
 	}
 
 	private static void addHandlers(ChannelPipeline pipeline, PeerConnection connection) {
-		pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-		pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+		pipeline.addLast(PeerFrames.NAME, PeerFrames.ofHandshake());
+		pipeline.addLast(PeerFrames.newPrepender());
 		pipeline.addLast(connection);
 	}
 
--- /dev/null
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/process/PeerNetworkTests.java
@@ -0,0 +1,84 @@
+package org.poplarloom.wire.process;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+import org.poplarloom.core.InstanceId;
+import org.poplarloom.wire.connection.PeerKey;
+import org.poplarloom.wire.message.Message;
+
+/**
+ * Tests for {@link PeerNetwork} over real sockets, with strangers and with peers that
+ * know the key.
+ */
+public class PeerNetworkTests {
+
+	private static final PeerKey KEY = PeerKey.of("0123456789abcdef");
+
+	private static final int TIMEOUT_MILLIS = 5_000;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	@AfterClass(alwaysRun = true)
+	public void stop() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private PeerNetwork network(String id) {
+		return new PeerNetwork(InstanceId.of(id), KEY,
+				(peer, message, reply) -> reply.accept(new Message.Acknowledgement(true)), this.group);
+	}
+
+	@Test
+	public void aLargeFrameOfAStrangerClosesTheConnectionBeforeItIsRead() throws IOException {
+		try (PeerNetwork server = network("server");
+				Socket stranger = new Socket("127.0.0.1", server.listen("127.0.0.1", 0))) {
+			stranger.setSoTimeout(TIMEOUT_MILLIS);
+			stranger.getOutputStream().write(ByteBuffer.allocate(4).putInt(16 * 1024 * 1024).array());
+			stranger.getOutputStream().write(new byte[1_000]);
+			stranger.getOutputStream().flush();
+			Assert.assertTrue(isClosedByPeer(stranger));
+		}
+	}
+
+	private static boolean isClosedByPeer(Socket socket) {
+		try {
+			int next = socket.getInputStream().read();
+			while (next >= 0) {
+				next = socket.getInputStream().read();
+			}
+			return true;
+		}
+		catch (java.net.SocketTimeoutException ex) {
+			return false;
+		}
+		catch (IOException ex) {
+			return true;
+		}
+	}
+
+	@Test
+	public void largeMessagesOfAPeerAreRead() throws Exception {
+		try (PeerNetwork server = network("server"); PeerNetwork client = network("client")) {
+			String address = "127.0.0.1:" + server.listen("127.0.0.1", 0);
+			Message large = new Message.TableContent("t", 1,
+					List.of(new Message.TableRecord("key", "x".repeat(1024 * 1024), 0)));
+			for (int i = 0; i < 20; i++) {
+				Message reply = client.request(address, large, TIMEOUT_MILLIS)
+					.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+				Assert.assertEquals(reply, new Message.Acknowledgement(true));
+			}
+		}
+	}
+
+}
