--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/LogLine.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/LogLine.java
@@ -25,7 +25,7 @@
 
 	/** State changes of an instance other than those of single endpoints. */
 	private static final Pattern STATE_CHANGE = Pattern.compile("\\bevent=(?:configuration|evacuation|platform_lost"
-			+ "|platform_regained|learnt_from_peer|history_expired|started|reload|stopping|stopped|queue)\\b"
+			+ "|platform_regained|learnt_from_peer|endpoints_listed|history_expired|started|reload|stopping|stopped|queue)\\b"
 			+ "|\\b(?:taking over|giving up) shard\\b");
 
 	private static final Pattern ANY_REQUEST = Pattern.compile("\\brequest=\\S");
--- a/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
+++ b/poplarloom-ctl/src/main/java/org/poplarloom/ctl/PoplarloomCtl.java
@@ -107,6 +107,8 @@
 				  instance out|in NAME
 				  endpoint list
 				  status
+				  usage [verify]
+				  keys                            (generates a pair of keys for an owner)
 				  explain REQUEST-ID LOG...       (reads only saved logs)
 				  orders MODEL --model-version VERSION [--adapter NAME] [--role NAME]""");
 	}
--- a/poplarloom-ctl/src/test/java/org/poplarloom/ctl/ExplainCommandTests.java
+++ b/poplarloom-ctl/src/test/java/org/poplarloom/ctl/ExplainCommandTests.java
@@ -44,7 +44,8 @@
 						"09:00:25.300 INFO  R - request=ab123 event=ended outcome=streamed",
 						"09:00:25.400 INFO  R - request=ab12 event=ended outcome=no_endpoint",
 						"09:00:26.000 INFO  C - event=configuration version=9", "no time of day"));
-		Files.write(this.otherLog, List.of("09:00:25.250 INFO  T - ticket=ab12.1 event=order_failed endpoint=i-9"));
+		Files.write(this.otherLog, List.of("09:00:20.000 INFO  P - event=endpoints_listed changed=195 known=200",
+				"09:00:25.250 INFO  T - ticket=ab12.1 event=order_failed endpoint=i-9"));
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -76,6 +77,7 @@
 		String text = explain("ab12", this.entryLog, this.otherLog);
 		Assert.assertTrue(text.indexOf("event=gone silent_ms=900") > text.indexOf("outcome=no_endpoint"), text);
 		Assert.assertFalse(text.contains("event=listed"), "more than 10 s before the request: " + text);
+		Assert.assertTrue(text.contains("event=endpoints_listed"), text);
 		Assert.assertFalse(text.contains("i-8"), "another endpoint: " + text);
 		Assert.assertFalse(text.contains("version=9"), "after the end of the request: " + text);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -1,8 +1,10 @@
 package org.poplarloom.entry;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 
@@ -11,6 +13,7 @@
 
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Findings;
+import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.version.ContractReader;
 import org.poplarloom.entry.process.Daemon;
 import org.poplarloom.entry.process.HangupSignal;
@@ -27,9 +30,6 @@
 
 	private static final String VARIABLE_PREFIX = "POPLARLOOM_";
 
-	/** Flight Recorder events of buffers; their classes are loaded at each start. */
-	private static final String NETTY_EVENTS_PROPERTY = "io.netty.jfr.enabled";
-
 	private static final int EXIT_FINDINGS = 1;
 
 	private static final int EXIT_USAGE = 2;
@@ -100,11 +100,20 @@
 			return report(findings);
 		}
 		LogConfigurator.useFormat(options.logFormat());
-		System.setProperty(NETTY_EVENTS_PROPERTY, "false");
+		configureNetty(settings.instance());
 		start(settings, platform, Path.of(options.config()));
 		return RUNNING;
 	}
 
+	// Netty would search the network interfaces for an identity and load classes for
+	// events that nobody records.
+	private static void configureNetty(InstanceId instance) {
+		byte[] identity = ByteBuffer.allocate(Long.BYTES).putLong(instance.value().hashCode()).array();
+		System.setProperty("io.netty.machineId", HexFormat.ofDelimiter(":").formatHex(identity));
+		System.setProperty("io.netty.processId", Long.toString(ProcessHandle.current().pid()));
+		System.setProperty("io.netty.jfr.enabled", "false");
+	}
+
 	private static Settings settings(Options options, PlatformSettings platform, Findings findings) {
 		SettingsReader reader = new SettingsReader(findings);
 		if (options.config().isEmpty()) {
