Apply the records after one that cannot be read, and the last of each key

An entry that was removed and published again within one read was removed, as both fell into the same millisecond (older fault). Change: each operators' record is applied on its own and logged if it cannot be read; of several records of an endpoint in one read the last one counts.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -2,8 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -127,8 +130,7 @@
 	 * Starts to read the tables and publishes this instance's entry.
 	 */
 	void start() {
-		this.operatorTable = follow(Tables.OPERATORS, this::operatorTiming, NOTIFIED_PEERS,
-				(records) -> records.forEach(this::applyOperatorRecord));
+		this.operatorTable = follow(Tables.OPERATORS, this::operatorTiming, NOTIFIED_PEERS, this::applyOperatorRecords);
 		this.node.gossiper().announce(this.operatorTable);
 		this.endpointTable = follow(Tables.WORKERS, this::endpointTiming, 0, this::applyEndpointRecords);
 		publishOwnEntry();
@@ -218,6 +220,19 @@
 		allowTakeOverAfter(GREETING_REPLY_MILLIS);
 	}
 
+	// A record that cannot be applied must not keep back those after it.
+	private void applyOperatorRecords(List<KeyedTablePort.Entry> records) {
+		for (KeyedTablePort.Entry record : records) {
+			try {
+				applyOperatorRecord(record);
+			}
+			catch (PoplarloomException | IllegalArgumentException ex) {
+				logger.error("event=unreadable_operator_record key={} offset={} cause=\"{}\"", record.key(),
+						record.offset(), ex.getMessage());
+			}
+		}
+	}
+
 	private void applyOperatorRecord(KeyedTablePort.Entry entry) {
 		if (entry.key().equals(ConfigurationFormat.CONFIGURATION_KEY)) {
 			applyConfiguration(entry);
@@ -235,21 +250,16 @@
 		if (entry.isTombstone()) {
 			return;
 		}
-		try {
-			RoutingTable next = ConfigurationFormat.read(entry.value());
-			if (this.routing.activateIfNewer(next)) {
-				logger.info("event=configuration version={} offset={} age_ms={}", next.version(), entry.offset(),
-						operatorsAgeMillis());
-			}
-		}
-		catch (PoplarloomException | IllegalArgumentException ex) {
-			logger.error("event=unreadable_configuration offset={} cause=\"{}\"", entry.offset(), ex.getMessage());
+		RoutingTable next = ConfigurationFormat.read(entry.value());
+		if (this.routing.activateIfNewer(next)) {
+			logger.info("event=configuration version={} offset={} age_ms={}", next.version(), entry.offset(),
+					operatorsAgeMillis());
 		}
 	}
 
 	private void applyEndpointRecords(List<KeyedTablePort.Entry> records) {
 		List<EndpointEntry> published = new ArrayList<>();
-		for (KeyedTablePort.Entry record : records) {
+		for (KeyedTablePort.Entry record : lastOfEachKey(records)) {
 			if (record.isTombstone()) {
 				removeEndpointAfterGrace(record.key());
 				continue;
@@ -266,6 +276,13 @@
 		}
 	}
 
+	// An entry that was removed and published again in one read is not removed.
+	private static Collection<KeyedTablePort.Entry> lastOfEachKey(List<KeyedTablePort.Entry> records) {
+		Map<String, KeyedTablePort.Entry> last = new LinkedHashMap<>();
+		records.forEach((record) -> last.put(record.key(), record));
+		return last.values();
+	}
+
 	private void removeEndpointAfterGrace(String id) {
 		long now = this.node.clock().nowMillis();
 		long recovered = (this.endpointTable != null) ? this.endpointTable.recoveredMillis() : 0;
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -224,6 +225,10 @@
 			return !this.node.localHomes().isEmpty();
 		}
 
+		PublishedEntries entries() {
+			return this.entries;
+		}
+
 		boolean knowsHomeOf(String otherZone) {
 			return this.node.membership().zonesWithShards().contains(AvailabilityZone.of(otherZone));
 		}
@@ -255,7 +260,7 @@
 			return result;
 		}
 
-		private void deliver(String target, Message message, java.util.function.Consumer<Message> reply) {
+		private void deliver(String target, Message message, Consumer<Message> reply) {
 			schedule(() -> {
 				if (isReachable(target)) {
 					SimulatedFleet.this.instancesByAddress.get(target).handler.handle(this.settings.instance(), message,
