Show that a change comes late after an outage that hits all reads

All 13 instances had sent their long read of the operators' table at 4.93 s, as the change at 4.92 had answered all of them at once. All gave it up at 10.45, sent the next one at 10.85, still in the outage, and gave that up at 16.35. In between, from 11.02 on, the same instances read the other tables. The four versions of 11.69 to 12.12 were in force at 16.77 everywhere. No peer could help, since none knew more.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -34,8 +34,9 @@
  * Instances of several zones and the platform's store in one thread and in virtual time.
  * <p>
  * Nodes, membership, gossip and tables are the real ones; only the connections and the
- * store are replaced. Zones can be silenced, and answers of the store can be lost. The
- * same seed gives the same run. This class is not thread-safe.
+ * store are replaced. Zones can be silenced, answers of the store can be lost, and the
+ * store can be silent towards all instances. The same seed gives the same run. This class
+ * is not thread-safe.
  */
 final class SimulatedFleet {
 
@@ -66,6 +67,10 @@
 
 	private double lostAnswerRatio;
 
+	private boolean storeSilent;
+
+	private int outages;
+
 	private long elapsedMillis;
 
 	SimulatedFleet(long seed) {
@@ -89,6 +94,19 @@
 		this.lostAnswerRatio = ratio;
 	}
 
+	/**
+	 * Silences the store. Calls that are in progress or arrive while it is silent are
+	 * never answered.
+	 * @param isSilent whether the store is silent from now on
+	 */
+	void setStoreSilent(boolean isSilent) {
+		this.storeSilent = isSilent;
+		if (isSilent) {
+			this.outages++;
+			this.waitingReads.clear();
+		}
+	}
+
 	void setSilent(String zone, boolean isSilent) {
 		if (isSilent) {
 			this.silentZones.add(zone);
@@ -142,9 +160,10 @@
 	}
 
 	private <T> void answerLater(Instance caller, CompletableFuture<T> result, T answer) {
-		boolean isLost = this.random.nextDouble() < this.lostAnswerRatio;
+		boolean isLost = this.random.nextDouble() < this.lostAnswerRatio || this.storeSilent;
+		int outagesBefore = this.outages;
 		schedule(() -> {
-			if (!isLost && !this.silentZones.contains(caller.zone)) {
+			if (!isLost && outagesBefore == this.outages && !this.silentZones.contains(caller.zone)) {
 				result.complete(answer);
 			}
 		}, STORE_DELAY_MILLIS);
@@ -300,6 +319,9 @@
 				answerLater(this, result, page);
 				return result;
 			}
+			if (SimulatedFleet.this.storeSilent) {
+				return result;
+			}
 			WaitingRead waiting = new WaitingRead(this, table, from, result);
 			SimulatedFleet.this.waitingReads.add(waiting);
 			schedule(() -> {
