Show that a part of prompts crashes one endpoint after the other

Sound requests at the same endpoints failed: of 20 questions a second up to 6.

A crash closes the connections of all requests at that endpoint, on up to 11 instances. Each harmful request is sent to a second endpoint at once, which crashes too.

Hypotheses: (a) the crash registry counts by path, caller and body, and no two requests are alike; (b) it counts only 6 s after a crash; (c) counts are not shared. They are broadcast, so not (c). (a) decides, as no request comes twice; (b) alone would miss the bound of 3 s after the fifth crash. The log does not tell the parts of a request; that comes with the fix.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -99,8 +99,12 @@
 	}
 
 	String exchange(String methodAndPath, String id, String body) {
+		return exchange(methodAndPath, id, "", body);
+	}
+
+	String exchange(String methodAndPath, String id, String headers, String body) {
 		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
-			caller.send(methodAndPath, id, "Connection: close\r\n", body);
+			caller.send(methodAndPath, id, "Connection: close\r\n" + headers, body);
 			return caller.readAll();
 		}
 		catch (IOException ex) {
