Find the parts of prompts that crash endpoints and refuse them everywhere

Cause: the crash registry counts a request by path, caller and body; no two requests with the harmful part are alike, so none was ever counted twice. It also counts only 6 s after a crash. Class: a poison message was identified by the whole message, not by what it shares with others.

Change: an instance that loses an endpoint reports the shared parts of its requests there, unless their answers had gone on for a second, to all homes. A part that is present at three crashes at 0.15 s or more from each other is suspected; the home asks all instances when the last answer on it began that survived, and drops the crashes before that. A part that never survived and was present at more crashes than any other is quarantined; otherwise at five crashes, 2 s after the first. Crashes that a found part explains are no evidence against other parts. The quarantine is an entry of the crash registry, so it travels with gossip and reaches instances that start later. Requests with the part are refused at once, also before a second attempt. event=attempt_failed names the shared parts.

Until it is recognized a part still crashes as many endpoints as its requests reach in about a second.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashRegistry.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashRegistry.java
@@ -56,6 +56,15 @@
 		return next;
 	}
 
+	/**
+	 * Quarantines whatever a fingerprint identifies, without counting crashes.
+	 * @param fingerprint the hash of a request's content, or another identification
+	 * @param nowMillis the time in milliseconds since the epoch
+	 */
+	public synchronized void quarantine(String fingerprint, long nowMillis) {
+		merge(List.of(new Crash(fingerprint, CRASHES_UNTIL_QUARANTINE, "", nowMillis + this.retentionMillis)));
+	}
+
 	/**
 	 * Merges entries that a peer has sent.
 	 * @param updates the entries
--- /dev/null
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
@@ -0,0 +1,124 @@
+package org.poplarloom.core.process;
+
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests for {@link CrashAttribution}. They guard against parts that crash one endpoint
+ * after the other, and against the refusal of sound parts that were only present.
+ */
+public class CrashAttributionTests {
+
+	private CrashAttribution attribution;
+
+	private int crashes;
+
+	@BeforeMethod
+	public void create() {
+		this.attribution = new CrashAttribution();
+		this.crashes = 0;
+	}
+
+	private void crash(long millis, String... parts) {
+		this.attribution.recordCrash("i-" + ++this.crashes + "@1", List.of(parts), millis);
+	}
+
+	@Test
+	public void findsThePartThatIsPresentAtEachCrashAndNeverSurvives() {
+		crash(0, "system", "bad", "a");
+		crash(300, "system", "bad", "b");
+		this.attribution.recordSurvivor("system", 350);
+		crash(600, "system", "bad", "c");
+		Assert.assertEquals(this.attribution.suspects(800), List.of("bad"));
+		Assert.assertEquals(this.attribution.decide(800), List.of("bad"));
+		Assert.assertEquals(this.attribution.decide(800), List.of());
+	}
+
+	@Test
+	public void aPartThatSurvivedAfterTheCrashesIsSound() {
+		crash(0, "a");
+		crash(300, "a");
+		crash(600, "a");
+		this.attribution.recordSurvivor("a", 601);
+		Assert.assertEquals(this.attribution.decide(10_000), List.of());
+	}
+
+	@Test
+	public void anOutageThatEndsManyEndpointsAtOnceCountsOnce() {
+		for (int i = 0; i < 20; i++) {
+			crash(5 * i, "system", "a");
+		}
+		Assert.assertEquals(this.attribution.suspects(60_000), List.of());
+	}
+
+	@Test
+	public void waitsForMoreCrashesIfTwoPartsAreAlwaysPresent() {
+		crash(0, "bad", "rare");
+		crash(300, "bad", "rare");
+		crash(600, "bad", "rare");
+		Assert.assertEquals(this.attribution.decide(5_000), List.of());
+		crash(900, "bad");
+		Assert.assertEquals(this.attribution.decide(5_000), List.of("bad"));
+	}
+
+	@Test
+	public void findsBothPartsAfterFiveCrashesIfTheyCannotBeToldApart() {
+		for (int i = 0; i < 5; i++) {
+			crash(300 * i, "bad", "rare");
+		}
+		Assert.assertEquals(this.attribution.decide(1_500), List.of());
+		Assert.assertEquals(this.attribution.decide(2_000).size(), 2);
+	}
+
+	@Test
+	public void aPartThatWasSoundBeforeNeedsFiveCrashes() {
+		crash(0, "turned");
+		this.attribution.recordSurvivor("turned", 1);
+		for (int i = 1; i <= 4; i++) {
+			crash(300 * i, "turned");
+		}
+		Assert.assertEquals(this.attribution.decide(10_000), List.of());
+		crash(1_500, "turned");
+		Assert.assertEquals(this.attribution.decide(10_000), List.of("turned"));
+	}
+
+	@Test
+	public void crashesThatAFoundPartExplainsAreNoEvidenceAgainstOthers() {
+		crash(0, "bad", "victim");
+		crash(300, "bad", "victim");
+		crash(600, "bad");
+		Assert.assertEquals(this.attribution.decide(1_000), List.of("bad"));
+		crash(1_200, "victim", "bad");
+		crash(1_500, "victim", "bad");
+		Assert.assertEquals(this.attribution.suspects(60_000), List.of());
+	}
+
+	@Test
+	public void aReportAfterTheOneThatExplainsItsCrashIsNoEvidence() {
+		for (int i = 0; i < 3; i++) {
+			crash(300 * i, "bad");
+		}
+		Assert.assertEquals(this.attribution.decide(1_000), List.of("bad"));
+		for (int i = 1; i <= 3; i++) {
+			this.attribution.recordCrash("i-" + i + "@1", List.of("victim"), 1_000 + 300 * i);
+		}
+		Assert.assertEquals(this.attribution.suspects(60_000), List.of());
+	}
+
+	@Test
+	public void forgetsOldCrashesAndFindsAPartAgainAfterItsQuarantine() {
+		for (int round = 0; round < 2; round++) {
+			long start = 1_000_000 * round;
+			this.attribution.expire(start - 600_000);
+			for (int i = 0; i < 3; i++) {
+				crash(start + 300 * i, "bad");
+			}
+			Assert.assertEquals(this.attribution.decide(start + 1_000), List.of("bad"));
+			Assert.assertTrue(this.attribution.isEmpty());
+		}
+	}
+
+}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -101,6 +101,8 @@
 
 	private Gossiper gossiper;
 
+	private CrashInvestigation crashInvestigation;
+
 	/**
 	 * Creates a node, which does nothing until it is started.
 	 * @param settings the settings
@@ -139,9 +141,12 @@
 		this.grantClient = new GrantClient(this.selector, this, this.clock);
 		this.gossiper = new Gossiper(this.settings, this.membership, this.activeConfiguration, this.crashes,
 				this.instances, this.localHomes, this, this.clock);
+		this.crashInvestigation = new CrashInvestigation(this.membership, this.instances, this.crashes, this.gossiper,
+				this, this.clock);
 		this.localHomes.onReady(this.gossiper::announceHomes);
 		runPeriodically(Gossiper.TICK_MILLIS, this.gossiper::tick);
 		runPeriodically(MEMBERSHIP_PERIOD_MILLIS, this::followMembership);
+		runPeriodically(CrashInvestigation.TICK_MILLIS, this.crashInvestigation::tick);
 		this.runtime.tasks().execute(this::tickHomes);
 		runPeriodically(POLL_PERIOD_MILLIS, () -> this.localHomes.poll().subscribe());
 		runPeriodically(QUEUE_LOG_PERIOD_MILLIS, this.localHomes::logQueues);
@@ -205,7 +210,7 @@
 
 	@Override
 	public void handle(InstanceId peer, Message message, Consumer<Message> reply) {
-		if (this.gossiper == null) {
+		if (this.crashInvestigation == null) {
 			return;
 		}
 		if (message instanceof Message.Heartbeat heartbeat) {
@@ -237,6 +242,12 @@
 			List<Grant> grants = announce.grants().stream().map((grant) -> grant.shifted(shift)).toList();
 			reply.accept(new Message.Acknowledgement(this.localHomes.announce(peer, announce.shard(), grants)));
 		}
+		else if (message instanceof Message.CrashReport report) {
+			this.crashInvestigation.receive(report);
+		}
+		else if (message instanceof Message.SurvivalQuery query) {
+			reply.accept(this.crashInvestigation.receive(query));
+		}
 		else if (message instanceof Message.VersionQuery query) {
 			reply.accept(versionReply(query.publicationId()));
 		}
@@ -372,6 +383,14 @@
 		return this.crashes;
 	}
 
+	/**
+	 * Returns the search for parts of prompts that crash endpoints.
+	 * @return the investigation, null before {@link #start()}
+	 */
+	public CrashInvestigation crashInvestigation() {
+		return this.crashInvestigation;
+	}
+
 	/**
 	 * Returns the publisher of this instance's usage.
 	 * @return the publisher
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -33,6 +33,9 @@
 
 	private static final int PRIORITY_PER_RANK = 5;
 
+	/** An endpoint that a request crashes ends within this time after the first byte. */
+	private static final long SURVIVAL_MILLIS = 1_000;
+
 	private final RelayRun run;
 
 	private final AttemptEndpoints endpoints;
@@ -53,6 +56,10 @@
 
 	private boolean firstByteReceived;
 
+	private long firstByteMillis;
+
+	private boolean survivedBeginning;
+
 	private boolean ended;
 
 	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId) {
@@ -158,8 +165,31 @@
 	private void reportFirstByte() {
 		if (!this.firstByteReceived && this.replyKind == Reply.ANSWER) {
 			this.firstByteReceived = true;
+			this.firstByteMillis = this.run.service().nowMillis();
 			this.endpoints.reportFirstToken();
 		}
+		else if (this.firstByteReceived && this.run.service().nowMillis() - this.firstByteMillis >= SURVIVAL_MILLIS) {
+			recordSurvival();
+		}
+	}
+
+	private void recordSurvival() {
+		if (!this.survivedBeginning) {
+			this.survivedBeginning = true;
+			this.run.service()
+				.node()
+				.crashInvestigation()
+				.recordSurvivor(this.run.request().sharedParts(), this.firstByteMillis);
+		}
+	}
+
+	/**
+	 * Returns whether the answer continued so long after its beginning that the endpoint
+	 * cannot have crashed because of it.
+	 * @return false if the endpoint may have begun to answer shortly before it failed
+	 */
+	boolean hasSurvivedBeginning() {
+		return this.survivedBeginning;
 	}
 
 	@Override
@@ -169,6 +199,9 @@
 		}
 		switch (this.replyKind) {
 			case ANSWER -> {
+				if (this.firstByteReceived) {
+					recordSurvival();
+				}
 				release(null);
 				if (isStream()) {
 					this.run.endStream(this.head, this.events.drainRemainder());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -133,6 +133,14 @@
 	}
 
 	private void startAttempt(AttemptEndpoints endpoints) {
+		try {
+			this.service.requireNoHarmfulPart(this.request);
+		}
+		catch (PoplarloomException ex) {
+			endpoints.release(null);
+			grantRefused(ex);
+			return;
+		}
 		this.attemptCount++;
 		this.endpointCount = endpoints.helpers().size() + 1;
 		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount);
@@ -179,15 +187,21 @@
 		this.mayHaveRun |= failure.mayHaveRun();
 		this.excluded.add((failure.faultyEndpoint() != null) ? failure.faultyEndpoint() : failed.endpoint());
 		logger.info(
-				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} faulty={} mayHaveRun={} cause=\"{}\"",
+				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} faulty={} mayHaveRun={}"
+						+ " shared_parts={} cause=\"{}\"",
 				this.request.id(), this.attemptCount, failed.endpoint(), failed.bootId(), failure.faultyEndpoint(),
-				failure.mayHaveRun(), failure.cause());
+				failure.mayHaveRun(), this.request.sharedParts(), failure.cause());
 		this.service.metrics().recordFailedAttempt(failure.mayHaveRun());
 		if (failure.answer() != null) {
 			this.endpointFailure = failure;
 		}
 		if (failure.isConnectionLost()) {
 			scheduleCrashCheck(failed);
+			if (!failed.hasSurvivedBeginning()) {
+				this.service.node()
+					.crashInvestigation()
+					.report(failed.endpoint(), failed.bootId(), this.request.sharedParts());
+			}
 		}
 		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
 				&& (!this.streamStarted || this.route.retryMode() == Route.RetryMode.RESUME));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -38,6 +38,9 @@
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
+	/** The quarantine outlasts it; an earlier repetition would only be refused again. */
+	private static final long HARMFUL_RETRY_AFTER_MILLIS = 60_000;
+
 	private final Node node;
 
 	private final ActiveRouting routing;
@@ -131,6 +134,20 @@
 		if (this.node.crashes().status(run.fingerprint(), nowMillis()) == CrashRegistry.Status.QUARANTINED) {
 			throw new PoplarloomException(ErrorCode.NO_ENDPOINT, "the request has crashed endpoints");
 		}
+		requireNoHarmfulPart(run.request());
+	}
+
+	/**
+	 * Refuses a request with a part that crashes endpoints.
+	 * @param request the request
+	 */
+	void requireNoHarmfulPart(RelayRequest request) {
+		for (String part : request.sharedParts()) {
+			if (this.node.crashInvestigation().isHarmful(part)) {
+				throw new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO,
+						"part " + part + " of the prompt crashes endpoints", HARMFUL_RETRY_AFTER_MILLIS);
+			}
+		}
 	}
 
 	/**
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
@@ -0,0 +1,115 @@
+package org.poplarloom.entry.process;
+
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+import org.poplarloom.core.EndpointId;
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.standin.WorkerStandIn;
+
+/**
+ * Tests of several instances whose endpoints crash one after the other.
+ */
+public class CrashInvestigationTests {
+
+	private static final List<String> ZONES = List.of("norte-a", "norte-b", "norte-c");
+
+	private static final int INSTANCES = 12;
+
+	/** A harmful part must be refused everywhere this long after the fifth crash. */
+	private static final long CONTACT_MILLIS = 3_000;
+
+	private static final String HARMFUL = "bad0cafe";
+
+	private SimulatedFleet fleet;
+
+	private int crashes;
+
+	private void startFleet(long seed) {
+		this.crashes = 0;
+		this.fleet = new SimulatedFleet(seed);
+		for (int i = 0; i < INSTANCES; i++) {
+			this.fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
+		}
+		ZONES.forEach((zone) -> this.fleet.put(Tables.WORKERS, "i-" + zone,
+				WorkerStandIn.entry("model", zone, "ready", "10.1.0.1:80")));
+		advance(15_000);
+	}
+
+	private void advance(long millis) {
+		this.fleet.advance(millis, (elapsed) -> {
+		});
+	}
+
+	private SimulatedFleet.Instance anyInstance() {
+		return this.fleet.instances().get(this.fleet.random().nextInt(INSTANCES));
+	}
+
+	// Each instance with a request at the endpoint loses it; one had sent the harmful
+	// one.
+	private void crashEndpoint(boolean isHarmful) {
+		EndpointId endpoint = EndpointId.of("i-" + ++this.crashes);
+		for (int i = 0; i < 5; i++) {
+			anyInstance().investigation().report(endpoint, "1", List.of("system", "victim-" + this.crashes + "-" + i));
+		}
+		if (isHarmful) {
+			anyInstance().investigation().report(endpoint, "1", List.of("system", HARMFUL));
+		}
+	}
+
+	private void survive(String part) {
+		SimulatedFleet.Instance instance = anyInstance();
+		instance.investigation().recordSurvivor(List.of(part), instance.nowMillis());
+	}
+
+	private long instancesThatRefuse(String part) {
+		return this.fleet.instances().stream().filter((instance) -> instance.investigation().isHarmful(part)).count();
+	}
+
+	/**
+	 * Guards against a harmful part that other instances go on sending, and against the
+	 * refusal of a part that most requests contain.
+	 */
+	@Test
+	public void allInstancesRefuseTheHarmfulPartInTimeAndNoOther() {
+		for (long seed = 1; seed <= 10; seed++) {
+			startFleet(seed);
+			for (int i = 0; i < 5; i++) {
+				crashEndpoint(true);
+				advance(100 + this.fleet.random().nextInt(400));
+				survive("system");
+			}
+			advance(CONTACT_MILLIS);
+			Assert.assertEquals(instancesThatRefuse(HARMFUL), INSTANCES, "seed " + seed);
+			Assert.assertEquals(instancesThatRefuse("system"), 0, "seed " + seed);
+		}
+	}
+
+	@Test
+	public void anInstanceThatStartsLaterRefusesItToo() {
+		startFleet(11);
+		for (int i = 0; i < 5; i++) {
+			crashEndpoint(true);
+			advance(300);
+			survive("system");
+		}
+		advance(CONTACT_MILLIS);
+		SimulatedFleet.Instance late = this.fleet.start("edge-late", "norte-b");
+		advance(CONTACT_MILLIS);
+		Assert.assertTrue(late.investigation().isHarmful(HARMFUL));
+	}
+
+	@Test
+	public void theLossOfAZonesEndpointsAtOnceMakesNoPartHarmful() {
+		startFleet(12);
+		for (int i = 0; i < 30; i++) {
+			crashEndpoint(false);
+			advance(2);
+		}
+		advance(CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse("system"), 0);
+	}
+
+}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -226,7 +226,7 @@
 					runtime);
 		}
 
-		private long nowMillis() {
+		long nowMillis() {
 			return START_MILLIS + SimulatedFleet.this.elapsedMillis;
 		}
 
@@ -268,6 +268,10 @@
 			return !this.node.localHomes().isEmpty();
 		}
 
+		CrashInvestigation investigation() {
+			return this.node.crashInvestigation();
+		}
+
 		PublishedEntries entries() {
 			return this.entries;
 		}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
@@ -69,7 +69,7 @@
 	 * Guards against a part of prompts that crashes one endpoint after the other, because
 	 * the requests that contain it differ.
 	 */
-	@Test(groups = "known-red")
+	@Test
 	public void aHarmfulPartStopsReachingEndpointsAfterFiveCrashes() {
 		publishWorkers();
 		int sent = 0;
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/RelayRequest.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/RelayRequest.java
@@ -1,5 +1,7 @@
 package org.poplarloom.port.relay;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -21,9 +23,16 @@
  * @param answerTokens the maximum length of the answer in tokens
  * @param lastEventId the id of the last event of a stream that the caller has received,
  * or {@link #NO_EVENT}
+ * @param sharedParts the parts of the prompt that other requests may contain too, in
+ * order, without repetitions, usually few
  */
 public record RelayRequest(String id, String method, String target, String host, HttpHeaders headers, byte[] body,
-		String apiKey, long clientTimeoutMillis, long promptTokens, long answerTokens, long lastEventId) {
+		String apiKey, long clientTimeoutMillis, long promptTokens, long answerTokens, long lastEventId,
+		List<String> sharedParts) {
+
+	public RelayRequest {
+		sharedParts = List.copyOf(sharedParts);
+	}
 
 	/** The timeout of a caller that sent none. */
 	public static final long NO_CLIENT_TIMEOUT = -1;
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -103,6 +103,42 @@
 			List<CrashRegistry.Crash> crashes, long operatorTableOffset, long endpointTableOffset) implements Message {
 	}
 
+	/**
+	 * Tells the homes that an endpoint crashed while it may have begun to answer a
+	 * request.
+	 *
+	 * @param crashId the endpoint and its boot
+	 * @param parts the parts of the request's prompt that other requests may share
+	 */
+	record CrashReport(String crashId, List<String> parts) implements Message {
+	}
+
+	/**
+	 * Asks when the last answers on parts of prompts began that survived.
+	 *
+	 * @param parts the parts
+	 */
+	record SurvivalQuery(List<String> parts) implements Message {
+	}
+
+	/**
+	 * Replies to a {@link SurvivalQuery}.
+	 *
+	 * @param ages how long ago the last answer began that survived, for each part in the
+	 * order of the query, in milliseconds, -1 if the sender knows none
+	 */
+	record SurvivalReply(List<Age> ages) implements Message {
+
+		/**
+		 * An age.
+		 *
+		 * @param value the age in milliseconds
+		 */
+		public record Age(long value) {
+		}
+
+	}
+
 	/**
 	 * Requests the configuration.
 	 *
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -32,7 +32,8 @@
 			Message.GrantRefused.class, Message.FirstToken.class, Message.Release.class, Message.AnnounceGrants.class,
 			Message.VersionQuery.class, Message.VersionReply.class, Message.Heartbeat.class,
 			Message.SegmentPrefilled.class, Message.Acknowledgement.class, Message.TableFetch.class,
-			Message.TableContent.class, Message.TableNotice.class);
+			Message.TableContent.class, Message.TableNotice.class, Message.CrashReport.class,
+			Message.SurvivalQuery.class, Message.SurvivalReply.class);
 
 	private MessageCodec() {
 	}
