Close idle connections to the store after a call without a response

A call that got no response closed its own connection only, and the next one took another idle connection, silent too, so that three idle ones cost 4.5 s more before the table could be read, as long as a read that waits.

Change: after a call without a response, the idle connections to the store are closed.

--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -123,6 +123,18 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections to an address, for a caller that got no response from
+	 * it: what has silenced one connection has often silenced all that were open.
+	 * @param address the host and port
+	 */
+	public void closeIdle(String address) {
+		Deque<HttpConnection> connections = this.idle.remove(address);
+		if (connections != null) {
+			connections.forEach(HttpConnection::close);
+		}
+	}
+
 	private void closeExpired() {
 		long now = System.nanoTime();
 		Iterator<Deque<HttpConnection>> iterator = this.idle.values().iterator();
