Give the timing of table reads a file of its own; keep one query of peers at a time

From a reading of the change as a newcomer: TableFollower held an unrelated public type, and two outages within 0.4 s would have started two series of queries to peers. RelayService names the investigation that its runs and attempts use.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -71,11 +71,10 @@
 	 * Bounds the time after which an instance of each zone notices that a read was lost,
 	 * even if an outage has hit the reads of all instances.
 	 */
-	private static final TableFollower.Timing HOME_OPERATOR_TIMING = TableFollower.Timing.of(900,
-			OPERATOR_PAUSE_MILLIS);
+	private static final ReadTiming HOME_OPERATOR_TIMING = ReadTiming.of(900, OPERATOR_PAUSE_MILLIS);
 
 	/** A home must stop granting an endpoint within 2 s after it starts to drain. */
-	private static final TableFollower.Timing HOME_ENDPOINT_TIMING = TableFollower.Timing.of(0, 900);
+	private static final ReadTiming HOME_ENDPOINT_TIMING = ReadTiming.of(0, 900);
 
 	private static final long PEER_TIMEOUT_MILLIS = 600;
 
@@ -173,22 +172,22 @@
 
 	// Heartbeats name newer records, so in a large deployment each instance may wait
 	// longer.
-	private TableFollower.Timing operatorTiming() {
-		return this.node.localHomes().isEmpty() ? TableFollower.Timing
+	private ReadTiming operatorTiming() {
+		return this.node.localHomes().isEmpty() ? ReadTiming
 			.of(stretched(MIN_OPERATOR_WAIT_MILLIS, OPERATOR_WAIT_MILLIS_PER_INSTANCE), OPERATOR_PAUSE_MILLIS)
 				: HOME_OPERATOR_TIMING;
 	}
 
 	// An instance that is no home keeps its copy recent enough to become one quickly.
-	private TableFollower.Timing endpointTiming() {
+	private ReadTiming endpointTiming() {
 		return this.node.localHomes().isEmpty()
-				? TableFollower.Timing.spread(stretched(MIN_ENDPOINT_PAUSE_MILLIS, ENDPOINT_PAUSE_MILLIS_PER_INSTANCE))
+				? ReadTiming.spread(stretched(MIN_ENDPOINT_PAUSE_MILLIS, ENDPOINT_PAUSE_MILLIS_PER_INSTANCE))
 				: HOME_ENDPOINT_TIMING;
 	}
 
 	// Instances that are not in the table yet introduce themselves to those that are.
-	private TableFollower.Timing statusTiming() {
-		return TableFollower.Timing.of(0, stretched(MIN_STATUS_PAUSE_MILLIS, STATUS_PAUSE_MILLIS_PER_INSTANCE));
+	private ReadTiming statusTiming() {
+		return ReadTiming.of(0, stretched(MIN_STATUS_PAUSE_MILLIS, STATUS_PAUSE_MILLIS_PER_INSTANCE));
 	}
 
 	private long stretched(long minMillis, long millisPerInstance) {
@@ -196,7 +195,7 @@
 		return Math.max(minMillis, instances * millisPerInstance);
 	}
 
-	private TableFollower follow(String table, Supplier<TableFollower.Timing> timing, int notifiedPeers,
+	private TableFollower follow(String table, Supplier<ReadTiming> timing, int notifiedPeers,
 			Consumer<List<KeyedTablePort.Entry>> listener) {
 		TableFollower follower = new TableFollower(table, this.store, timing, this.scheduler,
 				new Instances(notifiedPeers), listener, this.node.clock(), this.random);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -66,7 +66,7 @@
 
 	private final KeyedTablePort port;
 
-	private final Supplier<Timing> timing;
+	private final Supplier<ReadTiming> timing;
 
 	private final ScheduledExecutorService scheduler;
 
@@ -101,6 +101,8 @@
 
 	private ScheduledFuture<?> pendingRead;
 
+	private ScheduledFuture<?> pendingQuery;
+
 	private long awaitedOffset = NOTHING_READ;
 
 	/**
@@ -115,8 +117,9 @@
 	 * @param clock the source of the time
 	 * @param random draws the pauses between reads
 	 */
-	public TableFollower(String table, KeyedTablePort port, Supplier<Timing> timing, ScheduledExecutorService scheduler,
-			TablePeers peers, Consumer<List<Entry>> listener, Clock clock, Random random) {
+	public TableFollower(String table, KeyedTablePort port, Supplier<ReadTiming> timing,
+			ScheduledExecutorService scheduler, TablePeers peers, Consumer<List<Entry>> listener, Clock clock,
+			Random random) {
 		this.table = table;
 		this.port = port;
 		this.timing = timing;
@@ -303,9 +306,13 @@
 	}
 
 	private void queryPeers() {
+		if (this.pendingQuery != null) {
+			this.pendingQuery.cancel(false);
+		}
 		if (this.unavailable && !this.scheduler.isShutdown()) {
 			fetch(this.peers.queryAny(fetchMessage()));
-			this.scheduler.schedule(this::queryPeers, PEER_QUERY_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+			this.pendingQuery = this.scheduler.schedule(this::queryPeers, PEER_QUERY_PERIOD_MILLIS,
+					TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -416,39 +423,4 @@
 		return this.recoveredMillis;
 	}
 
-	/**
-	 * How long a read waits and how often the table is read. The pauses are spread, so
-	 * that instances which have started together do not read together.
-	 *
-	 * @param waitMillis how long a read waits for a record, in milliseconds
-	 * @param minPauseMillis the shortest time between two reads, in milliseconds
-	 * @param maxPauseMillis the longest time between two reads, in milliseconds
-	 */
-	public record Timing(long waitMillis, long minPauseMillis, long maxPauseMillis) {
-
-		/**
-		 * Returns a timing with constant pauses.
-		 * @param waitMillis how long a read waits for a record, in milliseconds
-		 * @param pauseMillis the time between two reads, in milliseconds
-		 * @return the timing
-		 */
-		public static Timing of(long waitMillis, long pauseMillis) {
-			return new Timing(waitMillis, pauseMillis, pauseMillis);
-		}
-
-		/**
-		 * Returns a timing without waits whose pauses are spread evenly around a mean.
-		 * @param meanPauseMillis the mean time between two reads, in milliseconds
-		 * @return the timing
-		 */
-		public static Timing spread(long meanPauseMillis) {
-			return new Timing(0, meanPauseMillis / 2, meanPauseMillis * 3 / 2);
-		}
-
-		long pauseMillis(double fraction) {
-			return this.minPauseMillis + (long) (fraction * (this.maxPauseMillis - this.minPauseMillis));
-		}
-
-	}
-
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -178,7 +178,6 @@
 		if (!this.survivedBeginning) {
 			this.survivedBeginning = true;
 			this.run.service()
-				.node()
 				.crashInvestigation()
 				.recordSurvivor(this.run.request().sharedParts(), this.firstByteMillis);
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -198,8 +198,7 @@
 		if (failure.isConnectionLost()) {
 			scheduleCrashCheck(failed);
 			if (!failed.hasSurvivedBeginning()) {
-				this.service.node()
-					.crashInvestigation()
+				this.service.crashInvestigation()
 					.report(failed.endpoint(), failed.bootId(), this.request.sharedParts());
 			}
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -14,6 +14,7 @@
 import org.poplarloom.core.process.RetryBudget;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
+import org.poplarloom.entry.process.CrashInvestigation;
 import org.poplarloom.entry.process.Node;
 import org.poplarloom.entry.process.PublishedEntries;
 import org.poplarloom.entry.version.ActiveRouting;
@@ -143,7 +144,7 @@
 	 */
 	void requireNoHarmfulPart(RelayRequest request) {
 		for (String part : request.sharedParts()) {
-			if (this.node.crashInvestigation().isHarmful(part)) {
+			if (crashInvestigation().isHarmful(part)) {
 				throw new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO,
 						"part " + part + " of the prompt crashes endpoints", HARMFUL_RETRY_AFTER_MILLIS);
 			}
@@ -166,6 +167,10 @@
 		return this.node;
 	}
 
+	CrashInvestigation crashInvestigation() {
+		return this.node.crashInvestigation();
+	}
+
 	PublishedEntries entries() {
 		return this.entries;
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -34,7 +34,7 @@
 
 	private static final String TABLE = "table";
 
-	private static final TableFollower.Timing TIMING = TableFollower.Timing.of(0, 10);
+	private static final ReadTiming TIMING = ReadTiming.of(0, 10);
 
 	private ScheduledExecutorService scheduler;
 
