Ask the last peer that named a missing change, not the first

Trace: version 461 is accepted 71 ms before the zone norte-b falls silent for 5.8 s. A home in norte-a whose read is lost hears of it first from norte-b. It asks that peer at 150, 750 and 1,350 ms in vain, and random ones between; heartbeats of its own zone name the same offset every 0.5 s but were ignored, as that offset was awaited already.

Change: the peer that named the awaited offset last is asked.

Seeds 1 to 4 and 48, now 999 changes each, pass; 48 failed before.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -105,6 +105,9 @@
 
 	private long awaitedOffset = NOTHING_READ;
 
+	/** The address of the last peer that has named the awaited offset. */
+	private String informant = "";
+
 	/**
 	 * Creates a follower, which does nothing until it is started.
 	 * @param table the name of the table
@@ -263,15 +266,18 @@
 		}
 	}
 
+	// The last peer that has named the offset is the most likely one to be reachable.
 	private void awaitOffset(String address, long offset) {
+		if (offset >= this.awaitedOffset) {
+			this.informant = address;
+		}
 		if (offset > this.awaitedOffset) {
 			this.awaitedOffset = offset;
-			this.scheduler.schedule(() -> fetchAwaited(address, offset, 0), PEER_FETCH_DELAY_MILLIS,
-					TimeUnit.MILLISECONDS);
+			this.scheduler.schedule(() -> fetchAwaited(offset, 0), PEER_FETCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private void fetchAwaited(String address, long offset, int fetches) {
+	private void fetchAwaited(long offset, int fetches) {
 		if (this.nextOffset >= offset || fetches >= MAX_PEER_FETCHES || this.scheduler.isShutdown()) {
 			if (this.awaitedOffset == offset) {
 				this.awaitedOffset = NOTHING_READ;
@@ -279,11 +285,11 @@
 			return;
 		}
 		boolean asksInformant = fetches % 2 == 0;
-		fetch(asksInformant ? this.peers.query(address, fetchMessage()) : this.peers.queryAny(fetchMessage()));
+		fetch(asksInformant ? this.peers.query(this.informant, fetchMessage()) : this.peers.queryAny(fetchMessage()));
 		if (fetches == 0 && this.readInProgress) {
 			readNext();
 		}
-		this.scheduler.schedule(() -> fetchAwaited(address, offset, fetches + 1), PEER_FETCH_PERIOD_MILLIS,
+		this.scheduler.schedule(() -> fetchAwaited(offset, fetches + 1), PEER_FETCH_PERIOD_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/ConfigurationSpreadTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/ConfigurationSpreadTests.java
@@ -32,7 +32,9 @@
 
 	private static final int INSTANCES = 13;
 
-	private static final int CHANGES = 250;
+	private static final int CHANGES = 1_000;
+
+	private static final int FEW_CHANGES = 50;
 
 	/** One in ten answers is lost; a read that waits for a change is hit as often. */
 	private static final double LOST_ANSWERS = 0.1;
@@ -47,17 +49,45 @@
 
 	private long maxDelayMillis;
 
+	private Map<String, Long> sentMessages = Map.of();
+
 	@DataProvider
 	public static Object[] seeds() {
-		return new Object[] { 1L, 2L, 3L, 4L };
+		return new Object[] { 1L, 2L, 3L, 4L, 48L };
 	}
 
-	@Test(dataProvider = "seeds", groups = "known-red")
+	/**
+	 * Guards against changes that come late because a read was lost; with seed 48,
+	 * because the first peer that named the change is silent and others that name it are
+	 * ignored.
+	 */
+	@Test(dataProvider = "seeds")
 	public void changesReachInstancesWhoseReadsAreLost(long seed) {
+		run(seed, CHANGES);
+		Assert.assertTrue(this.maxDelayMillis <= MAX_DELAY_MILLIS,
+				"a change was in force only after " + this.maxDelayMillis + " ms, seed " + seed);
+	}
+
+	/**
+	 * Guards against failures that cannot be repeated because peers are chosen anew in
+	 * each run.
+	 */
+	@Test
+	public void theSameSeedGivesTheSameRun() {
+		run(5, FEW_CHANGES);
+		long firstMaxDelayMillis = this.maxDelayMillis;
+		Map<String, Long> firstTraffic = this.sentMessages;
+		run(5, FEW_CHANGES);
+		Assert.assertEquals(this.maxDelayMillis, firstMaxDelayMillis);
+		Assert.assertEquals(this.sentMessages, firstTraffic);
+	}
+
+	private void run(long seed, int changes) {
 		this.acceptedMillis.clear();
 		this.checkedVersions.clear();
 		this.maxDelayMillis = 0;
 		this.silenceEndMillis = Long.MIN_VALUE / 2;
+		this.silentZoneIndex = 0;
 		SimulatedFleet fleet = new SimulatedFleet(seed);
 		for (int i = 0; i < INSTANCES; i++) {
 			fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
@@ -66,12 +96,11 @@
 		fleet.advance(10_000, (elapsed) -> {
 		});
 		fleet.loseAnswers(LOST_ANSWERS);
-		for (long version = 2; version <= CHANGES; version++) {
+		for (long version = 2; version <= changes; version++) {
 			publish(fleet, version);
 			fleet.advance(500 + fleet.random().nextInt(3_000), (elapsed) -> check(fleet, elapsed));
 		}
-		Assert.assertTrue(this.maxDelayMillis <= MAX_DELAY_MILLIS,
-				"a change was in force only after " + this.maxDelayMillis + " ms, seed " + seed);
+		this.sentMessages = fleet.sentMessages();
 	}
 
 	private void publish(SimulatedFleet fleet, long version) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -66,6 +67,8 @@
 
 	private final Set<String> silentZones = new HashSet<>();
 
+	private final Map<String, Long> sentMessages = new TreeMap<>();
+
 	private double lostAnswerRatio;
 
 	private boolean storeSilent;
@@ -87,6 +90,14 @@
 		return this.instances;
 	}
 
+	/**
+	 * Returns how many messages instances have sent to each other.
+	 * @return the count by sender, receiver and type of message
+	 */
+	Map<String, Long> sentMessages() {
+		return this.sentMessages;
+	}
+
 	Random random() {
 		return this.random;
 	}
@@ -308,6 +319,8 @@
 		}
 
 		private void deliver(String target, Message message, Consumer<Message> reply) {
+			SimulatedFleet.this.sentMessages
+				.merge(this.address + " " + target + " " + message.getClass().getSimpleName(), 1L, Long::sum);
 			schedule(() -> {
 				if (isReachable(target)) {
 					SimulatedFleet.this.instancesByAddress.get(target).handler.handle(this.settings.instance(), message,
