Find unchanged requests that crash endpoints in the same way as parts

A request that comes again unchanged was counted 6 s after each crash, when the endpoint's entry shows it; the bound is 3 s after the third crash.

Change: fingerprints of requests are reported and found like shared parts, next to the count after 6 s, which stays. Of a request and parts that were present at the same crashes the request is blamed, since other requests may share the parts. event=harmful names the causes found.

RelayHarmfulPartTests: 34 repetitions reached endpoints from 3 to 6 s after the third crash, 3 are allowed; passes now. CrashAttributionTests has the case of a sound request that is repeated among crashes of a harmful part.

--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
@@ -23,7 +23,31 @@
 	}
 
 	private void crash(long millis, String... parts) {
-		this.attribution.recordCrash("i-" + ++this.crashes + "@1", List.of(parts), millis);
+		crashWith("request-" + this.crashes, millis, parts);
+	}
+
+	private void crashWith(String request, long millis, String... parts) {
+		this.attribution.recordCrash("i-" + ++this.crashes + "@1", request, List.of(parts), millis);
+	}
+
+	@Test
+	public void blamesARequestThatComesAgainUnchangedRatherThanItsParts() {
+		for (int i = 0; i < 3; i++) {
+			crashWith("bad", 300 * i, "shared");
+		}
+		Assert.assertEquals(this.attribution.decide(1_000), List.of("bad"));
+		Assert.assertTrue(this.attribution.isEmpty());
+	}
+
+	@Test
+	public void doesNotBlameARequestThatIsRepeatedAmongCrashesOfAHarmfulPart() {
+		crash(0, "bad");
+		for (int i = 1; i <= 3; i++) {
+			this.attribution.recordCrash("i-" + (i + 1) + "@1", "victim", List.of("shared"), 300 * i);
+			crash(300 * i, "bad");
+		}
+		Assert.assertEquals(this.attribution.decide(1_500), List.of("bad"));
+		Assert.assertTrue(this.attribution.isEmpty());
 	}
 
 	@Test
@@ -103,7 +127,7 @@
 		}
 		Assert.assertEquals(this.attribution.decide(1_000), List.of("bad"));
 		for (int i = 1; i <= 3; i++) {
-			this.attribution.recordCrash("i-" + i + "@1", List.of("victim"), 1_000 + 300 * i);
+			this.attribution.recordCrash("i-" + i + "@1", "request", List.of("victim"), 1_000 + 300 * i);
 		}
 		Assert.assertEquals(this.attribution.suspects(60_000), List.of());
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
@@ -16,12 +16,14 @@
 import org.poplarloom.wire.message.Message;
 
 /**
- * Finds the parts of prompts that crash endpoints, together with the other instances.
+ * Finds the requests and the parts of prompts that crash endpoints, together with the
+ * other instances.
  * <p>
- * An instance that loses an endpoint reports the parts of its requests there to all
- * homes. A home that suspects a part asks all instances for answers on it that survived;
- * a part that is found is quarantined in the crash registry, which spreads by gossip.
- * This class is thread-safe and holds no lock while it sends.
+ * An instance that loses an endpoint reports the fingerprints and the shared parts of its
+ * requests there, the possible causes, to all homes. A home that suspects one asks all
+ * instances for answers to it that survived; a cause that is found is quarantined in the
+ * crash registry, which spreads by gossip. This class is thread-safe and holds no lock
+ * while it sends.
  */
 public final class CrashInvestigation {
 
@@ -32,7 +34,7 @@
 
 	private static final long QUERY_TIMEOUT_MILLIS = 300;
 
-	private static final int MAX_QUERIED_PARTS = 50;
+	private static final int MAX_QUERIED_CAUSES = 50;
 
 	private static final long EVIDENCE_RETENTION_MILLIS = 600_000;
 
@@ -71,13 +73,11 @@
 	 * request.
 	 * @param endpoint the endpoint
 	 * @param bootId the boot ID of its process
-	 * @param parts the parts of the request's prompt that other requests may share
+	 * @param request the fingerprint of the request
+	 * @param parts the parts of its prompt that other requests may share
 	 */
-	public void report(EndpointId endpoint, String bootId, List<String> parts) {
-		if (parts.isEmpty()) {
-			return;
-		}
-		Message report = new Message.CrashReport(endpoint + "@" + bootId, parts);
+	public void report(EndpointId endpoint, String bootId, String request, List<String> parts) {
+		Message report = new Message.CrashReport(endpoint + "@" + bootId, request, parts);
 		this.membership.liveShards(this.clock.nowMillis())
 			.stream()
 			.map(ShardStatus::home)
@@ -88,36 +88,32 @@
 
 	/**
 	 * Records that an answer survived its beginning.
-	 * @param parts the parts of the request's prompt that other requests may share
+	 * @param possibleCauses the fingerprint of the request and the parts of its prompt
+	 * that other requests may share
 	 * @param beginMillis when the answer began, in milliseconds since the epoch
 	 */
-	public void recordSurvivor(List<String> parts, long beginMillis) {
-		this.survivals.record(parts, beginMillis);
+	public void recordSurvivor(List<String> possibleCauses, long beginMillis) {
+		this.survivals.record(possibleCauses, beginMillis);
 	}
 
 	/**
-	 * Returns whether a part is known to crash endpoints.
-	 * @param part the part
+	 * Returns whether a cause is known to crash endpoints.
+	 * @param cause the cause
 	 * @return true if requests with it must not be sent
 	 */
-	public boolean isHarmful(String part) {
-		return this.crashes.status(registryKey(part), this.clock.nowMillis()) == CrashRegistry.Status.QUARANTINED;
-	}
-
-	// Parts share the registry with requests, whose fingerprints contain a '#'.
-	private static String registryKey(String part) {
-		return "part:" + part;
+	public boolean isHarmful(String cause) {
+		return this.crashes.status(cause, this.clock.nowMillis()) == CrashRegistry.Status.QUARANTINED;
 	}
 
 	void receive(Message.CrashReport report) {
-		this.attribution.recordCrash(report.crashId(), report.parts(), this.clock.nowMillis());
+		this.attribution.recordCrash(report.crashId(), report.request(), report.parts(), this.clock.nowMillis());
 	}
 
 	Message receive(Message.SurvivalQuery query) {
 		long now = this.clock.nowMillis();
-		return new Message.SurvivalReply(query.parts()
+		return new Message.SurvivalReply(query.causes()
 			.stream()
-			.map((part) -> this.survivals.lastBeginMillis(part))
+			.map(this.survivals::lastBeginMillis)
 			.map((begin) -> new Message.SurvivalReply.Age(begin.isPresent() ? now - begin.getAsLong() : UNKNOWN_AGE))
 			.toList());
 	}
@@ -132,7 +128,7 @@
 		}
 		long now = this.clock.nowMillis();
 		this.attribution.expire(now - EVIDENCE_RETENTION_MILLIS);
-		List<String> suspects = this.attribution.suspects(now).stream().limit(MAX_QUERIED_PARTS).toList();
+		List<String> suspects = this.attribution.suspects(now).stream().limit(MAX_QUERIED_CAUSES).toList();
 		if (!suspects.isEmpty() && this.queryInProgress.compareAndSet(false, true)) {
 			queryAll(suspects).whenComplete((done, failure) -> {
 				this.queryInProgress.set(false);
@@ -169,8 +165,8 @@
 		long now = this.clock.nowMillis();
 		List<String> harmful = this.attribution.decide(now);
 		if (!harmful.isEmpty()) {
-			logger.warn("event=harmful_parts parts={}", harmful);
-			harmful.forEach((part) -> this.crashes.quarantine(registryKey(part), now));
+			logger.warn("event=harmful causes={}", harmful);
+			harmful.forEach((cause) -> this.crashes.quarantine(cause, now));
 			this.gossiper.broadcast();
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -179,7 +179,7 @@
 			this.survivedBeginning = true;
 			this.run.service()
 				.crashInvestigation()
-				.recordSurvivor(this.run.request().sharedParts(), this.firstByteMillis);
+				.recordSurvivor(this.run.possibleCrashCauses(), this.firstByteMillis);
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -2,9 +2,11 @@
 
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -134,7 +136,7 @@
 
 	private void startAttempt(AttemptEndpoints endpoints) {
 		try {
-			this.service.requireNoHarmfulPart(this.request);
+			this.service.requireHarmless(this);
 		}
 		catch (PoplarloomException ex) {
 			endpoints.release(null);
@@ -199,7 +201,7 @@
 			scheduleCrashCheck(failed);
 			if (!failed.hasSurvivedBeginning()) {
 				this.service.crashInvestigation()
-					.report(failed.endpoint(), failed.bootId(), this.request.sharedParts());
+					.report(failed.endpoint(), failed.bootId(), fingerprint(), possiblePartCauses());
 			}
 		}
 		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
@@ -356,6 +358,20 @@
 		return this.request.target() + "#" + Integer.toHexString(hash) + "." + this.request.body().length;
 	}
 
+	/**
+	 * Returns what may crash an endpoint that begins to answer the request.
+	 * @return the fingerprint of the request and the parts of its prompt that others may
+	 * share
+	 */
+	List<String> possibleCrashCauses() {
+		return Stream.concat(Stream.of(fingerprint()), possiblePartCauses().stream()).toList();
+	}
+
+	// Parts and fingerprints, which begin with a path, share one registry.
+	private List<String> possiblePartCauses() {
+		return this.request.sharedParts().stream().map((part) -> "part " + part).toList();
+	}
+
 	RelayService service() {
 		return this.service;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -10,7 +10,6 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
-import org.poplarloom.core.process.CrashRegistry;
 import org.poplarloom.core.process.RetryBudget;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
@@ -99,7 +98,7 @@
 				.orElseThrow(() -> new PoplarloomException(ErrorCode.NOT_FOUND,
 						"no route for '" + request.host() + request.path() + "'"));
 			Optional<RoutingTable.Team> team = team(table, route, request);
-			requireNotQuarantined(run);
+			requireHarmless(run);
 			run.start(table, route, team.orElse(null));
 			return run;
 		}
@@ -131,22 +130,15 @@
 		return team;
 	}
 
-	private void requireNotQuarantined(RelayRun run) {
-		if (this.node.crashes().status(run.fingerprint(), nowMillis()) == CrashRegistry.Status.QUARANTINED) {
-			throw new PoplarloomException(ErrorCode.NO_ENDPOINT, "the request has crashed endpoints");
-		}
-		requireNoHarmfulPart(run.request());
-	}
-
 	/**
-	 * Refuses a request with a part that crashes endpoints.
-	 * @param request the request
+	 * Refuses a request that crashes endpoints or contains a part that does.
+	 * @param run the request's run
 	 */
-	void requireNoHarmfulPart(RelayRequest request) {
-		for (String part : request.sharedParts()) {
-			if (crashInvestigation().isHarmful(part)) {
-				throw new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO,
-						"part " + part + " of the prompt crashes endpoints", HARMFUL_RETRY_AFTER_MILLIS);
+	void requireHarmless(RelayRun run) {
+		for (String cause : run.possibleCrashCauses()) {
+			if (crashInvestigation().isHarmful(cause)) {
+				throw new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO, cause + " crashes endpoints",
+						HARMFUL_RETRY_AFTER_MILLIS);
 			}
 		}
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
@@ -52,10 +52,12 @@
 	private void crashEndpoint(boolean isHarmful) {
 		EndpointId endpoint = EndpointId.of("i-" + ++this.crashes);
 		for (int i = 0; i < 5; i++) {
-			anyInstance().investigation().report(endpoint, "1", List.of("system", "victim-" + this.crashes + "-" + i));
+			anyInstance().investigation()
+				.report(endpoint, "1", "request-" + this.crashes + "-" + i,
+						List.of("system", "victim-" + this.crashes + "-" + i));
 		}
 		if (isHarmful) {
-			anyInstance().investigation().report(endpoint, "1", List.of("system", HARMFUL));
+			anyInstance().investigation().report(endpoint, "1", "harmful-" + this.crashes, List.of("system", HARMFUL));
 		}
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -89,6 +90,30 @@
 		}
 	}
 
+	/**
+	 * Guards against a request that crashes one endpoint after the other because its
+	 * crashes are counted only once the endpoints have started again.
+	 */
+	@Test
+	public void aHarmfulRequestThatComesAgainUnchangedStopsReachingEndpointsAfterThreeCrashes() {
+		publishWorkers();
+		repeatHarmful(() -> this.crashes.get() >= 3);
+		long contactEnd = System.currentTimeMillis() + CONTACT_MILLIS;
+		repeatHarmful(() -> System.currentTimeMillis() >= contactEnd);
+		int before = this.crashes.get();
+		repeatHarmful(() -> System.currentTimeMillis() >= contactEnd + CONTACT_MILLIS);
+		Assert.assertTrue(this.crashes.get() - before <= MAX_LATE_REQUESTS,
+				(this.crashes.get() - before) + " repetitions reached endpoints later");
+	}
+
+	private void repeatHarmful(BooleanSupplier isOver) {
+		while (!isOver.getAsBoolean()) {
+			exchange("POST /stream/same", "same", "Token-Count: 1000,10\r\nPrompt-Prefix: " + HARMFUL + ":900\r\n",
+					"{}");
+			pause(PERIOD_MILLIS);
+		}
+	}
+
 	private void pauseWhileAsking(long millis) {
 		long end = System.currentTimeMillis() + millis;
 		for (int i = 0; System.currentTimeMillis() < end; i++) {
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -108,23 +108,24 @@
 	 * request.
 	 *
 	 * @param crashId the endpoint and its boot
+	 * @param request the fingerprint of the request
 	 * @param parts the parts of the request's prompt that other requests may share
 	 */
-	record CrashReport(String crashId, List<String> parts) implements Message {
+	record CrashReport(String crashId, String request, List<String> parts) implements Message {
 	}
 
 	/**
-	 * Asks when the last answers on parts of prompts began that survived.
+	 * Asks when the last answers with possible causes of crashes began that survived.
 	 *
-	 * @param parts the parts
+	 * @param causes fingerprints of requests and parts of prompts
 	 */
-	record SurvivalQuery(List<String> parts) implements Message {
+	record SurvivalQuery(List<String> causes) implements Message {
 	}
 
 	/**
 	 * Replies to a {@link SurvivalQuery}.
 	 *
-	 * @param ages how long ago the last answer began that survived, for each part in the
+	 * @param ages how long ago the last answer began that survived, for each cause in the
 	 * order of the query, in milliseconds, -1 if the sender knows none
 	 */
 	record SurvivalReply(List<Age> ages) implements Message {
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -69,7 +69,7 @@
 				new Message.AnnounceGrants(SHARD, List.of(GRANT), 1_234), new Message.SegmentPrefilled(SHARD, "k", 2),
 				new Message.Acknowledgement(true), new Message.TableFetch("t", 4), new Message.TableNotice("t", 5),
 				new Message.TableContent("t", 9, List.of(new Message.TableRecord("k", "v", 8))),
-				new Message.CrashReport("e@b", List.of("p")), new Message.SurvivalQuery(List.of("p", "q")),
+				new Message.CrashReport("e@b", "r", List.of("p")), new Message.SurvivalQuery(List.of("p", "q")),
 				new Message.SurvivalReply(
 						List.of(new Message.SurvivalReply.Age(-1), new Message.SurvivalReply.Age(20))),
 				new Message.VersionQuery("p"), new Message.VersionReply(1, 2, true, 3), new Message.Heartbeat(1, 2, 3,
