Name what survived after answers, not parts, and say when a stream without a length broke off

From a reading of the change as a newcomer: PartSurvivals holds fingerprints of requests as well, a method that reports the first byte also records that an answer survived, and the log called a stream that ended before its first event one that ended inside an event. Names, comments and one log text only; the tests concerned pass.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
@@ -109,7 +109,7 @@
 
 	/**
 	 * Decides which of the suspects crash endpoints. The crashes at which they were
-	 * present are removed from the evidence against other parts.
+	 * present are removed from the evidence against others.
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the causes found, usually none
 	 */
@@ -146,6 +146,7 @@
 			});
 	}
 
+	// Later crashes at which the cause was present are explained by it.
 	private void close(String cause, long nowMillis) {
 		Evidence evidence = this.evidenceByCause.remove(cause);
 		this.foundMillis.put(cause, nowMillis);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
@@ -11,8 +11,8 @@
 import org.poplarloom.core.process.CrashAttribution;
 import org.poplarloom.core.process.CrashRegistry;
 import org.poplarloom.core.process.MembershipTable;
-import org.poplarloom.core.process.PartSurvivals;
 import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.process.SurvivedAnswers;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -54,7 +54,7 @@
 
 	private final CrashAttribution attribution = new CrashAttribution();
 
-	private final PartSurvivals survivals = new PartSurvivals();
+	private final SurvivedAnswers survivedAnswers = new SurvivedAnswers();
 
 	private final AtomicBoolean queryInProgress = new AtomicBoolean();
 
@@ -93,7 +93,7 @@
 	 * @param beginMillis when the answer began, in milliseconds since the epoch
 	 */
 	public void recordSurvivor(List<String> possibleCauses, long beginMillis) {
-		this.survivals.record(possibleCauses, beginMillis);
+		this.survivedAnswers.record(possibleCauses, beginMillis);
 	}
 
 	/**
@@ -113,7 +113,7 @@
 		long now = this.clock.nowMillis();
 		return new Message.SurvivalReply(query.causes()
 			.stream()
-			.map(this.survivals::lastBeginMillis)
+			.map(this.survivedAnswers::lastBeginMillis)
 			.map((begin) -> new Message.SurvivalReply.Age(begin.isPresent() ? now - begin.getAsLong() : UNKNOWN_AGE))
 			.toList());
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -134,7 +134,7 @@
 		if (this.ended) {
 			return;
 		}
-		reportFirstByte();
+		recordProgress();
 		if (isStream()) {
 			for (EventBuffer.Event event : this.events.add(content)) {
 				this.run.writeEvent(this.head, event);
@@ -163,7 +163,7 @@
 				&& this.head.status().equals(HttpResponseStatus.OK);
 	}
 
-	private void reportFirstByte() {
+	private void recordProgress() {
 		if (!this.firstByteReceived && this.replyKind == Reply.ANSWER) {
 			this.firstByteReceived = true;
 			this.firstByteMillis = this.run.service().nowMillis();
@@ -200,7 +200,8 @@
 		switch (this.replyKind) {
 			case ANSWER -> {
 				if (isStream() && isBrokenOff()) {
-					fail(AttemptFailure.executionUnknown("stream ended inside an event", true), null);
+					fail(AttemptFailure.executionUnknown(
+							"stream without a length ended inside an event or before the first one", true), null);
 					return;
 				}
 				if (this.firstByteReceived) {
