--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.port.http.ExchangeListener;
@@ -224,8 +223,8 @@
 	// The end of the connection is the end of the answer if nothing else delimits it, but
 	// an endpoint that fails also ends its connection.
 	private boolean isBrokenOff() {
-		boolean isDelimited = HttpUtil.isContentLengthSet(this.head) || HttpUtil.isTransferEncodingChunked(this.head);
-		return !isDelimited && (this.events.pendingBytes() > 0 || !this.firstByteReceived);
+		return AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END
+				&& (this.events.pendingBytes() > 0 || !this.firstByteReceived);
 	}
 
 	// The answering endpoint also refuses the request if a helper cannot be reached.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -277,7 +277,7 @@
 	}
 
 	void answer(HttpResponse head, byte[] body) {
-		complete("answered", String.valueOf(head.status().code()));
+		complete("answered", head.status().code() + " framing=" + AnswerFraming.of(head).text());
 		this.reply.answer(head, body);
 	}
 
@@ -319,7 +319,8 @@
 		if (remainder.length > 0) {
 			this.reply.writeChunk(remainder);
 		}
-		complete("streamed", "last event " + this.lastEventId);
+		complete("streamed", "last event " + this.lastEventId + " framing=" + AnswerFraming.of(head).text()
+				+ " unfinished_bytes=" + remainder.length);
 		this.reply.endStream();
 	}
 
