Show that the end of a crashed endpoint is taken for the end of its answer

Callers got streams as complete that were not. The same class remains: an endpoint that crashes between two events, or in the middle of a plain answer without a length, ends its connection in the same way as one that has finished, and the answer is passed on as complete.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUndelimitedAnswerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUndelimitedAnswerTests.java
@@ -1,6 +1,7 @@
 package org.poplarloom.entry.relay;
 
 import java.io.IOException;
+import java.util.List;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -95,4 +96,55 @@
 		Assert.assertTrue(answer.contains("piece 1") && answer.endsWith("0\r\n\r\n"), answer);
 	}
 
+	/**
+	 * Guards against streams that are passed on as complete although their endpoint has
+	 * crashed between two events.
+	 */
+	@Test(groups = "known-red")
+	public void aStreamWhoseEndpointCrashesBetweenEventsGoesOnAtAnotherEndpoint() {
+		configure("model", "ready", "ready");
+		crashAfter(FIRST_EVENT, SECOND_EVENT);
+		String answer = exchange("POST /stream/x", "r1", "{}");
+		Assert.assertTrue(answer.contains("piece 1") && answer.contains("piece 2"), answer);
+		Assert.assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+		Assert.assertEquals(receivedCount("r1"), 2);
+	}
+
+	/**
+	 * Guards against answers that are passed on as complete although their endpoint has
+	 * crashed while it wrote them.
+	 */
+	@Test(groups = "known-red")
+	public void anAnswerWhoseEndpointCrashesIsRepeatedIfItMayBe() {
+		configure("app", "ready", "ready");
+		crashAfter("par", "whole");
+		String answer = exchange("GET /again/x", "r1", "");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\nwhole"), answer);
+		Assert.assertEquals(receivedCount("r1"), 2);
+	}
+
+	@Test(groups = "known-red")
+	public void anAnswerWhoseEndpointCrashesIsNotPassedOnIfItMayNotBeRepeated() {
+		configure("app", "ready", "ready");
+		crashAfter("par", "whole");
+		String answer = exchange("POST /once/x", "r1", "swap");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		Assert.assertEquals(receivedCount("r1"), 1);
+	}
+
+	private void crashAfter(String partOfBody, String bodyOfOtherEndpoint) {
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				if (receivedCount("r1") == 1) {
+					writeBody(request, out, partOfBody);
+					worker.crash();
+				}
+				else {
+					writeBody(request, out, bodyOfOtherEndpoint);
+					out.close();
+				}
+			});
+		}
+	}
+
 }
