--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -119,6 +119,31 @@
 		}
 	}
 
+	/**
+	 * Copies the tables of the store.
+	 * @return the copy, for {@link #restoreStore}
+	 */
+	Map<String, List<KeyedTablePort.Entry>> copyStore() {
+		Map<String, List<KeyedTablePort.Entry>> copy = new HashMap<>();
+		this.tables.forEach((table, records) -> copy.put(table, List.copyOf(records)));
+		return copy;
+	}
+
+	/**
+	 * Replaces the tables of the store with those of a copy and begins a new era. Reads
+	 * that wait are never answered.
+	 * @param copy the copy
+	 */
+	void restoreStore(Map<String, List<KeyedTablePort.Entry>> copy) {
+		this.tables.clear();
+		copy.forEach((table, records) -> this.tables.put(table, new ArrayList<>(records)));
+		this.waitingReads.clear();
+	}
+
+	List<String> keys(String table) {
+		return this.tables.getOrDefault(table, List.of()).stream().map(KeyedTablePort.Entry::key).toList();
+	}
+
 	void setSilent(String zone, boolean isSilent) {
 		if (isSilent) {
 			this.silentZones.add(zone);
@@ -168,6 +193,9 @@
 
 	private KeyedTablePort.Page page(String table, long from) {
 		List<KeyedTablePort.Entry> records = this.tables.getOrDefault(table, List.of());
+		if (from > records.size()) {
+			return new KeyedTablePort.Page(from, true, List.of());
+		}
 		return new KeyedTablePort.Page(records.size(), false, List.copyOf(records.subList((int) from, records.size())));
 	}
 
@@ -291,6 +319,10 @@
 			return this.node.membership().zonesWithShards().contains(AvailabilityZone.of(otherZone));
 		}
 
+		boolean knowsZoneAsOut(String otherZone) {
+			return this.node.activeConfiguration().state().isZoneOut(AvailabilityZone.of(otherZone));
+		}
+
 		long configurationVersion() {
 			return this.routing.table().map((table) -> table.version()).orElse(0L);
 		}
