Write the entry of an instance again after the store was restored

What callers saw: nothing yet.

Class: a record that is written once is taken to last.

Change: whoever reads a table in a later era than that of its own entry writes the entry again. Entries of others that the copy lacks stay for a minute, as their instances notice the restore at their next read.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -20,6 +20,7 @@
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.TablePosition;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.RoutingTable;
 import org.poplarloom.core.version.ZoneCommand;
@@ -127,6 +128,12 @@
 
 	private boolean instancesFollowed;
 
+	/** The latest era in which the platform was read. */
+	private long era = TablePosition.NONE.era();
+
+	/** The era in which this instance's entry was last written or is being written. */
+	private long ownEntryEra = TablePosition.NONE.era();
+
 	private volatile boolean stopping;
 
 	/**
@@ -213,6 +220,7 @@
 			Consumer<List<KeyedTablePort.Entry>> listener) {
 		TableFollower follower = new TableFollower(table, copy, this.store, timing, this.scheduler,
 				new Instances(notifiedPeers), listener, this.node.clock(), this.random);
+		follower.observeEras(this::handleEra);
 		this.node.shareWithPeers(follower);
 		follower.start();
 		return follower;
@@ -224,7 +232,11 @@
 		ListedInstance own = this.identity.own();
 		this.store.put(Tables.STATUS, own.id(), Documents.write(own).getBytes(StandardCharsets.UTF_8))
 			.whenCompleteAsync((position, failure) -> {
-				if (failure != null && !this.stopping) {
+				if (failure == null) {
+					this.ownEntryEra = position.era();
+					publishOwnEntryIfLost();
+				}
+				else if (!this.stopping) {
 					logger.warn("event=announcement_failed cause=\"{}\"", failure.getMessage());
 					this.scheduler.schedule(this::publishOwnEntry, ENTRY_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 				}
@@ -232,6 +244,21 @@
 			}, this.scheduler);
 	}
 
+	private void handleEra(long newEra) {
+		this.era = Math.max(this.era, newEra);
+		publishOwnEntryIfLost();
+	}
+
+	// An entry that is being written for the first time has no era yet.
+	private void publishOwnEntryIfLost() {
+		boolean isWritten = this.ownEntryEra != TablePosition.NONE.era();
+		if (isWritten && this.ownEntryEra < this.era && !this.stopping) {
+			logger.info("event=announced_again era={} before={}", this.era, this.ownEntryEra);
+			this.ownEntryEra = this.era;
+			publishOwnEntry();
+		}
+	}
+
 	private void followInstances() {
 		if (this.instancesFollowed) {
 			return;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -75,6 +76,9 @@
 
 	private final TableCopy copy;
 
+	private LongConsumer eraObserver = (era) -> {
+	};
+
 	private volatile boolean unavailable;
 
 	private volatile long recoveredMillis;
@@ -131,6 +135,15 @@
 		this.confirmedMillis = clock.nowMillis();
 	}
 
+	/**
+	 * Sets an observer of the platform's eras; called before the start.
+	 * @param observer receives the era of the first read and of each restore, on the
+	 * scheduler's thread
+	 */
+	void observeEras(LongConsumer observer) {
+		this.eraObserver = observer;
+	}
+
 	/**
 	 * Starts to read the table.
 	 */
@@ -242,6 +255,7 @@
 		}
 		if (isOtherEra) {
 			logger.info("table={} event=era_began position={} before={}", this.table, this.copy.next(), before);
+			this.eraObserver.accept(this.copy.next().era());
 		}
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreTests.java
@@ -195,7 +195,7 @@
 	 * Guards against instances that the others cannot find because the store has lost
 	 * their entries.
 	 */
-	@Test(groups = "known-red")
+	@Test
 	public void instancesWriteTheirEntriesAgainAfterARestore() {
 		startFleet(1);
 		restore(Map.of());
