--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -208,11 +208,16 @@
 
 	private void readSnapshot() {
 		this.port.readNewest(this.table).whenCompleteAsync((snapshot, failure) -> {
-			if (failure != null) {
-				recordFailure(failure);
+			try {
+				if (failure != null) {
+					recordFailure(failure);
+				}
+				else {
+					applySnapshot(snapshot);
+				}
 			}
-			else {
-				applySnapshot(snapshot);
+			catch (RuntimeException ex) {
+				logger.error("table={} event=listener_failed", this.table, ex);
 			}
 			retryWhenDue();
 		}, this.scheduler);
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -53,6 +53,8 @@
 
 	private Message peerReply;
 
+	private volatile boolean isListenerFailing;
+
 	private TableFollower follower;
 
 	@BeforeMethod
@@ -62,6 +64,7 @@
 		this.received.clear();
 		this.notices.clear();
 		this.batches.clear();
+		this.isListenerFailing = false;
 		this.peerReply = new Message.TableContent(TABLE, TablePosition.NONE, List.of());
 		this.follower = new TableFollower(TABLE, new TableCopy((restored, known) -> true, GRACE), this.table,
 				() -> TIMING, this.scheduler, new SinglePeer(), this::receive, Clock.steady(), new Random(1));
@@ -72,6 +75,10 @@
 	}
 
 	private void receive(List<KeyedTablePort.Entry> entries) {
+		if (this.isListenerFailing) {
+			this.isListenerFailing = false;
+			throw new IllegalStateException("the listener fails");
+		}
 		this.batches.add(entries.size());
 		entries.forEach((entry) -> this.received.put(entry.key(), new String(entry.value(), StandardCharsets.UTF_8)));
 	}
@@ -121,6 +128,23 @@
 		Assert.assertEquals(this.received.get("b"), "1");
 	}
 
+	/**
+	 * Guards against a follower that reads nothing more after its listener has failed on
+	 * a snapshot.
+	 */
+	@Test
+	public void readsOnAfterTheListenerFailedOnASnapshot() {
+		this.table.put("a", "1");
+		this.table.put("b", "1");
+		this.follower.start();
+		await(() -> this.received.size() == 2);
+		this.isListenerFailing = true;
+		this.table.removeAndExpire("a");
+		await(() -> !this.isListenerFailing);
+		this.table.put("b", "2");
+		await(() -> "2".equals(this.received.get("b")));
+	}
+
 	@Test
 	public void fetchesRecordsFromAPeerWhileThePlatformIsUnavailable() {
 		this.table.put("a", "1");
