--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -128,6 +128,8 @@
 
 	private boolean instancesFollowed;
 
+	// The scheduler's thread guards what follows.
+
 	/** The latest era in which the platform was read. */
 	private long era = TablePosition.NONE.era();
 
@@ -249,7 +251,9 @@
 		publishOwnEntryIfLost();
 	}
 
-	// An entry that is being written for the first time has no era yet.
+	// An entry that is being written for the first time has no era yet; the write ends
+	// with
+	// another check.
 	private void publishOwnEntryIfLost() {
 		boolean isWritten = this.ownEntryEra != TablePosition.NONE.era();
 		if (isWritten && this.ownEntryEra < this.era && !this.stopping) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableCopy.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableCopy.java
@@ -140,7 +140,7 @@
 		return true;
 	}
 
-	// A peer may still know a record of an earlier era that this instance has not read.
+	// The entry may also be of the earlier era, from a peer that has read more of it.
 	private boolean putAcrossEras(Entry entry, Entry known, long nowMillis) {
 		boolean isLater = entry.position().isAfter(known.position());
 		Entry later = isLater ? entry : known;
@@ -154,8 +154,10 @@
 		return isLater != isLaterOutdated;
 	}
 
-	// Up to the offset of the earlier record, the copy contains only older records of the
-	// key; at higher offsets there can only be newer ones.
+	// A record at a higher offset than the earlier one is newer, wherever it comes from;
+	// one
+	// at a lower offset is old if the platform was restored with it, or new if the offset
+	// was given out again.
 	private boolean isOutdated(Entry later, Entry earlier) {
 		boolean isWrittenAfterRestore = !this.restoredEnd.isAfter(later.position())
 				&& !this.restoredEnd.isInOtherEraThan(later.position());
