--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -22,6 +22,7 @@
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.ColdStartRamp;
 import org.poplarloom.core.process.CostPlacement;
+import org.poplarloom.core.process.TablePosition;
 import org.poplarloom.core.usage.OwnerKey;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.version.ActiveRouting;
@@ -75,6 +76,8 @@
 
 	private int outages;
 
+	private long era = 1;
+
 	private long elapsedMillis;
 
 	SimulatedFleet(long seed) {
@@ -119,6 +122,32 @@
 		}
 	}
 
+	/**
+	 * Copies the tables of the store.
+	 * @return the copy, for {@link #restoreStore}
+	 */
+	Map<String, List<KeyedTablePort.Entry>> copyStore() {
+		Map<String, List<KeyedTablePort.Entry>> copy = new HashMap<>();
+		this.tables.forEach((table, records) -> copy.put(table, List.copyOf(records)));
+		return copy;
+	}
+
+	/**
+	 * Replaces the tables of the store with those of a copy and begins a new era. Reads
+	 * that wait are never answered.
+	 * @param copy the copy
+	 */
+	void restoreStore(Map<String, List<KeyedTablePort.Entry>> copy) {
+		this.tables.clear();
+		copy.forEach((table, records) -> this.tables.put(table, new ArrayList<>(records)));
+		this.waitingReads.clear();
+		this.era++;
+	}
+
+	List<String> keys(String table) {
+		return this.tables.getOrDefault(table, List.of()).stream().map(KeyedTablePort.Entry::key).toList();
+	}
+
 	void setSilent(String zone, boolean isSilent) {
 		if (isSilent) {
 			this.silentZones.add(zone);
@@ -139,7 +168,8 @@
 	long put(String table, String key, String value) {
 		List<KeyedTablePort.Entry> records = this.tables.computeIfAbsent(table, (name) -> new ArrayList<>());
 		long offset = records.size();
-		records.add(new KeyedTablePort.Entry(key, value.getBytes(StandardCharsets.UTF_8), offset));
+		records.add(new KeyedTablePort.Entry(key, value.getBytes(StandardCharsets.UTF_8),
+				TablePosition.of(this.era, offset)));
 		List<WaitingRead> due = this.waitingReads.stream().filter((read) -> read.table.equals(table)).toList();
 		this.waitingReads.removeAll(due);
 		due.forEach((read) -> answerLater(read.reader, read.result, page(table, read.from)));
@@ -168,7 +198,15 @@
 
 	private KeyedTablePort.Page page(String table, long from) {
 		List<KeyedTablePort.Entry> records = this.tables.getOrDefault(table, List.of());
-		return new KeyedTablePort.Page(records.size(), false, List.copyOf(records.subList((int) from, records.size())));
+		if (from > records.size()) {
+			return new KeyedTablePort.Page(TablePosition.of(this.era, from), true, List.of());
+		}
+		List<KeyedTablePort.Entry> found = records.subList((int) from, records.size())
+			.stream()
+			.map((record) -> new KeyedTablePort.Entry(record.key(), record.value(),
+					TablePosition.of(this.era, record.position().offset())))
+			.toList();
+		return new KeyedTablePort.Page(TablePosition.of(this.era, records.size()), false, found);
 	}
 
 	private <T> void answerLater(Instance caller, CompletableFuture<T> result, T answer) {
@@ -291,6 +329,10 @@
 			return this.node.membership().zonesWithShards().contains(AvailabilityZone.of(otherZone));
 		}
 
+		boolean knowsZoneAsOut(String otherZone) {
+			return this.node.activeConfiguration().state().isZoneOut(AvailabilityZone.of(otherZone));
+		}
+
 		long configurationVersion() {
 			return this.routing.table().map((table) -> table.version()).orElse(0L);
 		}
@@ -353,7 +395,8 @@
 		}
 
 		@Override
-		public CompletableFuture<Page> read(String table, long from, long waitMillis) {
+		public CompletableFuture<Page> read(String table, TablePosition position, long waitMillis) {
+			long from = position.offset();
 			CompletableFuture<Page> result = newCall(this, waitMillis);
 			Page page = page(table, from);
 			if (waitMillis == 0 || !page.records().isEmpty()) {
@@ -374,12 +417,12 @@
 		}
 
 		@Override
-		public CompletableFuture<Long> put(String table, String key, byte[] value) {
-			CompletableFuture<Long> result = newCall(this, 0);
+		public CompletableFuture<TablePosition> put(String table, String key, byte[] value) {
+			CompletableFuture<TablePosition> result = newCall(this, 0);
 			schedule(() -> {
 				if (!this.storeUnreachable && !SimulatedFleet.this.silentZones.contains(this.zone)) {
-					answerLater(this, result,
-							SimulatedFleet.this.put(table, key, new String(value, StandardCharsets.UTF_8)));
+					answerLater(this, result, TablePosition.of(SimulatedFleet.this.era,
+							SimulatedFleet.this.put(table, key, new String(value, StandardCharsets.UTF_8))));
 				}
 			}, STORE_DELAY_MILLIS);
 			return result;
