--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/ConfigurationSpreadTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/ConfigurationSpreadTests.java
@@ -89,12 +89,9 @@
 		this.silenceEndMillis = Long.MIN_VALUE / 2;
 		this.silentZoneIndex = 0;
 		SimulatedFleet fleet = new SimulatedFleet(seed);
-		for (int i = 0; i < INSTANCES; i++) {
-			fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
-		}
+		fleet.startInstances(INSTANCES, ZONES);
 		publish(fleet, 1);
-		fleet.advance(10_000, (elapsed) -> {
-		});
+		fleet.advance(10_000);
 		fleet.loseAnswers(LOST_ANSWERS);
 		for (long version = 2; version <= changes; version++) {
 			publish(fleet, version);
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
@@ -30,17 +30,10 @@
 	private void startFleet(long seed) {
 		this.crashes = 0;
 		this.fleet = new SimulatedFleet(seed);
-		for (int i = 0; i < INSTANCES; i++) {
-			this.fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
-		}
+		this.fleet.startInstances(INSTANCES, ZONES);
 		ZONES.forEach((zone) -> this.fleet.put(Tables.WORKERS, "i-" + zone,
 				WorkerStandIn.entry("model", zone, "ready", "10.1.0.1:80")));
-		advance(15_000);
-	}
-
-	private void advance(long millis) {
-		this.fleet.advance(millis, (elapsed) -> {
-		});
+		this.fleet.advance(15_000);
 	}
 
 	private SimulatedFleet.Instance anyInstance() {
@@ -80,10 +73,10 @@
 			startFleet(seed);
 			for (int i = 0; i < 5; i++) {
 				crashEndpoint(true);
-				advance(100 + this.fleet.random().nextInt(400));
+				this.fleet.advance(100 + this.fleet.random().nextInt(400));
 				survive("system");
 			}
-			advance(CONTACT_MILLIS);
+			this.fleet.advance(CONTACT_MILLIS);
 			Assert.assertEquals(instancesThatRefuse(HARMFUL), INSTANCES, "seed " + seed);
 			Assert.assertEquals(instancesThatRefuse("system"), 0, "seed " + seed);
 		}
@@ -94,12 +87,12 @@
 		startFleet(11);
 		for (int i = 0; i < 5; i++) {
 			crashEndpoint(true);
-			advance(300);
+			this.fleet.advance(300);
 			survive("system");
 		}
-		advance(CONTACT_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS);
 		SimulatedFleet.Instance late = this.fleet.start("edge-late", "norte-b");
-		advance(CONTACT_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS);
 		Assert.assertTrue(late.investigation().isHarmful(HARMFUL));
 	}
 
@@ -108,9 +101,9 @@
 		startFleet(12);
 		for (int i = 0; i < 30; i++) {
 			crashEndpoint(false);
-			advance(2);
+			this.fleet.advance(2);
 		}
-		advance(CONTACT_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS);
 		Assert.assertEquals(instancesThatRefuse("system"), 0);
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/FleetStartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/FleetStartTests.java
@@ -57,11 +57,8 @@
 		for (String zone : ZONES) {
 			fleet.put(Tables.WORKERS, "i-" + zone, WorkerStandIn.entry("model", zone, "ready", "10.1.0.1:80"));
 		}
-		for (int i = 0; i < 15; i++) {
-			fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
-		}
-		fleet.advance(MAX_WITHOUT_HOME_MILLIS, (elapsed) -> {
-		});
+		fleet.startInstances(15, ZONES);
+		fleet.advance(MAX_WITHOUT_HOME_MILLIS);
 		for (SimulatedFleet.Instance instance : fleet.instances()) {
 			ZONES.forEach((zone) -> Assert.assertTrue(instance.knowsHomeOf(zone),
 					"an instance of " + instance.zone() + " knows no home of " + zone));
@@ -81,8 +78,7 @@
 		SimulatedFleet fleet = new SimulatedFleet(seed);
 		for (int i = 0; i < count; i++) {
 			fleet.start("edge-norte-a-" + i, "norte-a");
-			fleet.advance(fleet.random().nextInt(2 * START_SPREAD_MILLIS / count), (elapsed) -> {
-			});
+			fleet.advance(fleet.random().nextInt(2 * START_SPREAD_MILLIS / count));
 		}
 		return fleet;
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/RelayTablesTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/RelayTablesTests.java
@@ -19,8 +19,7 @@
 
 	private static SimulatedFleet.Instance startAndRead(SimulatedFleet fleet) {
 		SimulatedFleet.Instance instance = fleet.start("edge-1", "norte-a");
-		fleet.advance(READ_MILLIS, (elapsed) -> {
-		});
+		fleet.advance(READ_MILLIS);
 		return instance;
 	}
 
@@ -50,8 +49,7 @@
 		SimulatedFleet.Instance instance = startAndRead(fleet);
 		fleet.put(Tables.WORKERS, "i-1", "");
 		fleet.put(Tables.WORKERS, "i-1", entry());
-		fleet.advance(READ_MILLIS, (elapsed) -> {
-		});
+		fleet.advance(READ_MILLIS);
 		Assert.assertTrue(instance.entries().isSameProcess(EndpointId.of("i-1"), "1700000000000"));
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -157,6 +157,17 @@
 		}
 	}
 
+	/**
+	 * Starts instances in turn in each zone.
+	 * @param count how many
+	 * @param zones the availability zones
+	 */
+	void startInstances(int count, List<String> zones) {
+		for (int i = 0; i < count; i++) {
+			start("edge-" + i, zones.get(i % zones.size()));
+		}
+	}
+
 	Instance start(String id, String zone) {
 		Instance instance = new Instance(id, zone, "10.0.0." + (this.instances.size() + 1));
 		this.instances.add(instance);
@@ -176,6 +187,15 @@
 		return offset;
 	}
 
+	/**
+	 * Advances the time.
+	 * @param millis by how much
+	 */
+	void advance(long millis) {
+		advance(millis, (elapsed) -> {
+		});
+	}
+
 	/**
 	 * Advances the time.
 	 * @param millis by how much
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreOutageTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreOutageTests.java
@@ -54,11 +54,9 @@
 	private void startFleet(long seed) {
 		this.version = 0;
 		this.fleet = new SimulatedFleet(seed);
-		for (int i = 0; i < INSTANCES; i++) {
-			this.fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
-		}
+		this.fleet.startInstances(INSTANCES, ZONES);
 		publishNext();
-		advance(START_MILLIS);
+		this.fleet.advance(START_MILLIS);
 	}
 
 	private void publishNext() {
@@ -67,14 +65,9 @@
 				CallerStandIn.configuration(this.version, "model", "app"));
 	}
 
-	private void advance(long millis) {
-		this.fleet.advance(millis, (elapsed) -> {
-		});
-	}
-
 	private void silenceStore(long outageMillis) {
 		this.fleet.setStoreSilent(true);
-		advance(outageMillis);
+		this.fleet.advance(outageMillis);
 		this.fleet.setStoreSilent(false);
 	}
 
@@ -86,11 +79,11 @@
 	public void changesAreInForceInTimeAfterAnOutageThatHitsAllReads(long outageMillis) {
 		startFleet(outageMillis);
 		publishNext();
-		advance(CALM_MILLIS);
+		this.fleet.advance(CALM_MILLIS);
 		silenceStore(outageMillis);
-		advance(CONTACT_MILLIS - MAX_DELAY_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS - MAX_DELAY_MILLIS);
 		publishNext();
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		for (SimulatedFleet.Instance instance : this.fleet.instances()) {
 			Assert.assertEquals(instance.configurationVersion(), this.version, "outage of " + outageMillis + " ms");
 		}
@@ -109,11 +102,11 @@
 	public void drainingEndpointsAreKnownInTimeWhileHomesCannotReachTheStore(long seed) {
 		startFleet(seed);
 		this.fleet.put(Tables.WORKERS, ENDPOINT.value(), entry("ready"));
-		advance(START_MILLIS);
+		this.fleet.advance(START_MILLIS);
 		this.fleet.instances().stream().filter(SimulatedFleet.Instance::isHome).forEach((home) -> cutOff(home, seed));
-		advance(CONTACT_MILLIS + this.fleet.random().nextInt(4_000));
+		this.fleet.advance(CONTACT_MILLIS + this.fleet.random().nextInt(4_000));
 		this.fleet.put(Tables.WORKERS, ENDPOINT.value(), entry("draining"));
-		advance(MAX_DRAIN_DELAY_MILLIS);
+		this.fleet.advance(MAX_DRAIN_DELAY_MILLIS);
 		for (SimulatedFleet.Instance instance : this.fleet.instances()) {
 			Assert.assertFalse(instance.entries().mayServe(ENDPOINT), "seed " + seed + ", zone " + instance.zone());
 		}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreSoakTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreSoakTests.java
@@ -100,12 +100,11 @@
 		this.version = 0;
 		this.cutOff = null;
 		this.impaired = false;
-		IntStream.range(0, INSTANCES).forEach((i) -> this.fleet.start("edge-" + i, ZONES.get(i % ZONES.size())));
+		this.fleet.startInstances(INSTANCES, ZONES);
 		publish();
 		IntStream.range(0, ENDPOINTS).forEach((i) -> putEntry(i, "ready"));
 		this.impairedMillis = this.fleet.elapsedMillis();
-		this.fleet.advance(START_MILLIS, (elapsed) -> {
-		});
+		this.fleet.advance(START_MILLIS);
 		this.copies.add(this.fleet.copyStore());
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/StoreRestoreTests.java
@@ -65,12 +65,10 @@
 	private void startFleet(long seed) {
 		this.version = 0;
 		this.fleet = new SimulatedFleet(seed);
-		for (int i = 0; i < INSTANCES; i++) {
-			this.fleet.start("edge-" + i, ZONES.get(i % ZONES.size()));
-		}
+		this.fleet.startInstances(INSTANCES, ZONES);
 		publish(++this.version);
 		putEntry("ready", 1);
-		advance(START_MILLIS);
+		this.fleet.advance(START_MILLIS);
 	}
 
 	private void publish(int publishedVersion) {
@@ -87,14 +85,9 @@
 		this.fleet.put(Tables.OPERATORS, ConfigurationFormat.EVACUATION_KEY_PREFIX + zone, isOut ? "{}" : "");
 	}
 
-	private void advance(long millis) {
-		this.fleet.advance(millis, (elapsed) -> {
-		});
-	}
-
 	private void restore(Map<String, List<KeyedTablePort.Entry>> copy) {
 		this.fleet.setStoreSilent(true);
-		advance(OUTAGE_MILLIS);
+		this.fleet.advance(OUTAGE_MILLIS);
 		this.fleet.restoreStore(copy);
 		this.fleet.setStoreSilent(false);
 	}
@@ -113,9 +106,9 @@
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		for (int i = 0; i < lostChanges; i++) {
 			publish(++this.version);
-			advance(300);
+			this.fleet.advance(300);
 		}
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		restore(copy);
 		for (int i = isEachWrittenAgain ? keptVersion + 1 : this.version; i <= this.version; i++) {
 			publish(i);
@@ -130,10 +123,10 @@
 	public void changesAfterARestoreAreInForceInTime(int lostChanges, boolean isEachWrittenAgain, int seed) {
 		startFleet(seed);
 		loseChanges(lostChanges, isEachWrittenAgain);
-		advance(CONTACT_MILLIS - 500 * seed);
+		this.fleet.advance(CONTACT_MILLIS - 500 * seed);
 		for (int i = 0; i < 10; i++) {
 			publish(++this.version);
-			advance(MAX_DELAY_MILLIS);
+			this.fleet.advance(MAX_DELAY_MILLIS);
 			assertAll("version " + this.version + " is in force",
 					(instance) -> instance.configurationVersion() == this.version);
 		}
@@ -149,9 +142,9 @@
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		this.version += lostChanges;
 		publish(this.version);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		restore(copy);
-		advance(REWRITE_MILLIS);
+		this.fleet.advance(REWRITE_MILLIS);
 		assertAll("version " + this.version + " stays in force",
 				(instance) -> instance.configurationVersion() == this.version);
 	}
@@ -164,7 +157,7 @@
 		startFleet(1);
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		putEntry("draining", 2);
-		advance(START_MILLIS);
+		this.fleet.advance(START_MILLIS);
 		assertAll("the endpoint is not used", (instance) -> !instance.entries().mayServe(ENDPOINT));
 		restore(copy);
 		this.fleet.advance(REWRITE_MILLIS, (elapsed) -> assertAll("the endpoint is not used",
@@ -180,11 +173,11 @@
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		putEntry("ready", 2);
 		putEntry("ready", 3);
-		advance(REWRITE_MILLIS);
+		this.fleet.advance(REWRITE_MILLIS);
 		restore(copy);
-		advance(CONTACT_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS);
 		putEntry("draining", 4);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		this.fleet.instances()
 			.stream()
 			.filter(SimulatedFleet.Instance::isHome)
@@ -200,7 +193,7 @@
 		startFleet(1);
 		restore(Map.of());
 		publish(this.version);
-		advance(REWRITE_MILLIS);
+		this.fleet.advance(REWRITE_MILLIS);
 		Assert.assertEquals(List.copyOf(this.fleet.keys(Tables.STATUS)).stream().distinct().count(), INSTANCES);
 	}
 
@@ -212,11 +205,11 @@
 	public void evacuationsStayAsTheyWereUntilTheyAreWrittenAgain() {
 		startFleet(1);
 		evacuate("norte-a", true);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		evacuate("norte-a", false);
 		evacuate("norte-b", true);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		restore(copy);
 		this.fleet.advance(CONTACT_MILLIS, (elapsed) -> {
 			assertAll("norte-a is in use", (instance) -> !instance.knowsZoneAsOut("norte-a"));
@@ -233,13 +226,13 @@
 		startFleet(1);
 		Map<String, List<KeyedTablePort.Entry>> copy = this.fleet.copyStore();
 		evacuate("norte-a", true);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		evacuate("norte-a", false);
-		advance(MAX_DELAY_MILLIS);
+		this.fleet.advance(MAX_DELAY_MILLIS);
 		restore(copy);
-		advance(CONTACT_MILLIS);
+		this.fleet.advance(CONTACT_MILLIS);
 		evacuate("norte-a", true);
-		advance(MAX_EVACUATION_DELAY_MILLIS);
+		this.fleet.advance(MAX_EVACUATION_DELAY_MILLIS);
 		assertAll("norte-a is out", (instance) -> instance.knowsZoneAsOut("norte-a"));
 	}
 
