--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
@@ -2,7 +2,11 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -19,6 +23,12 @@
  */
 public class RelayLongPromptTests extends RelayFixture {
 
+	/** Longer than the timeout of the route. */
+	private static final long SILENT_MILLIS = 4_000;
+
+	/** Memory must be free 4 s after its last use; a lease lasts 3.5 s. */
+	private static final long MAX_RENEWAL_DELAY_MILLIS = 500;
+
 	@Test
 	public void promptTooLargeForOneEngineWaitsForIdleEngines() throws IOException {
 		publish(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
@@ -68,6 +78,45 @@
 		reservations.forEach((body) -> Assert.assertTrue(body.contains("\"tokens\":225001"), body));
 	}
 
+	/**
+	 * Guards against memory that helpers keep for a prompt whose answering endpoint has
+	 * become silent.
+	 */
+	@Test(groups = "known-red")
+	public void memoryIsNotRenewedOnceTheAnsweringEndpointIsSilent() throws IOException {
+		publish(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
+		this.firstWorker.respondWith(WorkerStandIn.STREAM_OF_ONE_EVENT);
+		this.secondWorker.respondWith(WorkerStandIn.STREAM_OF_ONE_EVENT);
+		await(() -> isStreamed(450_000));
+		AtomicReference<WorkerStandIn> silent = new AtomicReference<>();
+		AtomicLong silentSinceNanos = new AtomicLong();
+		List<Long> renewalNanos = new CopyOnWriteArrayList<>();
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				if (request.header("Request-Id").equals("large")) {
+					silentSinceNanos.set(System.nanoTime());
+					silent.set(worker);
+				}
+				if (worker == silent.get()) {
+					pause(SILENT_MILLIS);
+					return;
+				}
+				if (silent.get() != null && request.body().contains("reserve")) {
+					renewalNanos.add(System.nanoTime());
+				}
+				WorkerStandIn.STREAM_OF_ONE_EVENT.answer(request, out);
+			});
+		}
+		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+			caller.sendPrompt("/stream/large", "large", 450_000);
+			caller.readAll();
+		}
+		Assert.assertNotNull(silent.get());
+		renewalNanos.forEach((nanos) -> Assert.assertTrue(
+				nanos - silentSinceNanos.get() < TimeUnit.MILLISECONDS.toNanos(MAX_RENEWAL_DELAY_MILLIS),
+				TimeUnit.NANOSECONDS.toMillis(nanos - silentSinceNanos.get()) + " ms after the last sign of life"));
+	}
+
 	private boolean isStreamed(long promptTokens) {
 		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
 			caller.sendPrompt("/stream/probe", "probe", promptTokens);
