Renew leased memory only while the answering endpoint runs

Cause: the lease was renewed for as long as the attempt waited, and an endpoint that goes dark ends no connection, so the attempt waits until the request's deadline. Class: a lease is renewed by a party that does not know whether it is used.

Change: an endpoint that has sent nothing for 300 ms is asked for its status before each renewal; without a response the lease runs out, 3.8 s after the endpoint's last sign of life at the latest.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
@@ -74,6 +74,10 @@
 		return this.helpers;
 	}
 
+	List<AssignedEndpoint> reservingHelpers() {
+		return this.helpers.stream().filter((helper) -> helper.kvTokens() > 0).toList();
+	}
+
 	int priority() {
 		return this.grants.get(0).grant().priority();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/MemoryReservation.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/MemoryReservation.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -13,9 +14,10 @@
  * KV cache memory that the helpers of one prompt reserve. The attempt can start only if
  * all of them have reserved it.
  * <p>
- * The memory is leased for a short time and the lease is renewed while the attempt runs,
- * so that it is freed even if this instance crashes or a command is lost. This class is
- * not thread-safe; the event loop guards it.
+ * The memory is leased for a short time and the lease is renewed while the answering
+ * endpoint shows that it runs, so that it is freed even if this instance crashes, a
+ * command is lost or the endpoint becomes silent. This class is not thread-safe; the
+ * event loop guards it.
  */
 final class MemoryReservation {
 
@@ -27,10 +29,20 @@
 	/** Lets the lease survive the loss of one renewal. */
 	private static final long RENEWAL_INTERVAL_MILLIS = 1_400;
 
+	/**
+	 * An endpoint that has sent nothing for longer is asked for its status before the
+	 * lease is renewed. The lease and this time are shorter than the 4 s together.
+	 */
+	private static final long MAX_SILENCE_MILLIS = 300;
+
 	private final String reservationId;
 
 	private final List<AttemptEndpoints.AssignedEndpoint> helpers;
 
+	private final AttemptEndpoints.AssignedEndpoint answering;
+
+	private final LongSupplier lastReceivedMillis;
+
 	private final RelayService service;
 
 	private ScheduledFuture<?> renewal;
@@ -39,9 +51,21 @@
 
 	private boolean released;
 
-	MemoryReservation(String reservationId, List<AttemptEndpoints.AssignedEndpoint> helpers, RelayService service) {
+	/**
+	 * Creates a reservation, which does nothing until {@link #reserve}.
+	 * @param reservationId identifies it at the helpers
+	 * @param endpoints the answering endpoint and the helpers, of which those with memory
+	 * to reserve count
+	 * @param lastReceivedMillis supplies when the answering endpoint last sent something,
+	 * in milliseconds since the epoch
+	 * @param service the relay
+	 */
+	MemoryReservation(String reservationId, AttemptEndpoints endpoints, LongSupplier lastReceivedMillis,
+			RelayService service) {
 		this.reservationId = reservationId;
-		this.helpers = helpers;
+		this.helpers = endpoints.reservingHelpers();
+		this.answering = endpoints.answering();
+		this.lastReceivedMillis = lastReceivedMillis;
 		this.service = service;
 	}
 
@@ -68,7 +92,7 @@
 		};
 		this.helpers.forEach((helper) -> sendCommand(helper, reservationRequest(helper), replyCounter));
 		this.renewal = this.service.loop()
-			.scheduleWithFixedDelay(this::renew, RENEWAL_INTERVAL_MILLIS, RENEWAL_INTERVAL_MILLIS,
+			.scheduleWithFixedDelay(this::renewWhileRunning, RENEWAL_INTERVAL_MILLIS, RENEWAL_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
 	}
 
@@ -77,6 +101,26 @@
 			.writeReservation(helper.address(), this.reservationId, helper.kvTokens(), LEASE_MILLIS);
 	}
 
+	private void renewWhileRunning() {
+		if (this.service.nowMillis() - this.lastReceivedMillis.getAsLong() <= MAX_SILENCE_MILLIS) {
+			renew();
+			return;
+		}
+		String address = this.answering.address();
+		EndpointCommand.send(this.service, address, this.service.protocol().writeStatusRequest(address), (result) -> {
+			if (this.released) {
+				return;
+			}
+			if (result.isAnswered()) {
+				renew();
+			}
+			else {
+				logger.info("ticket={} event=lease_not_renewed endpoint={} cause=\"{}\"", this.reservationId,
+						this.answering.endpoint(), result.detail());
+			}
+		});
+	}
+
 	private void renew() {
 		this.helpers
 			.forEach((helper) -> sendCommand(helper, reservationRequest(helper), MemoryReservation::ignoreResult));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -63,6 +63,8 @@
 
 	private long firstByteMillis;
 
+	private long lastReceivedMillis;
+
 	private boolean survivedBeginning;
 
 	private boolean ended;
@@ -70,12 +72,8 @@
 	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId) {
 		this.run = run;
 		this.endpoints = endpoints;
-		List<AttemptEndpoints.AssignedEndpoint> reservingHelpers = endpoints.helpers()
-			.stream()
-			.filter((helper) -> helper.kvTokens() > 0)
-			.toList();
-		this.reservation = reservingHelpers.isEmpty() ? null
-				: new MemoryReservation(reservationId, reservingHelpers, run.service());
+		this.reservation = endpoints.reservingHelpers().isEmpty() ? null
+				: new MemoryReservation(reservationId, endpoints, () -> this.lastReceivedMillis, run.service());
 		this.reservationId = reservationId;
 	}
 
@@ -173,6 +171,7 @@
 	}
 
 	private void recordProgress() {
+		this.lastReceivedMillis = this.run.service().nowMillis();
 		if (!this.firstByteReceived && this.replyKind == Reply.ANSWER) {
 			this.firstByteReceived = true;
 			this.firstByteMillis = this.run.service().nowMillis();
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayLongPromptTests.java
@@ -26,6 +26,11 @@
 	/** Longer than the timeout of the route. */
 	private static final long SILENT_MILLIS = 4_000;
 
+	/**
+	 * Longer than the time between two renewals, shorter than the timeout of the route.
+	 */
+	private static final long PREFILL_MILLIS = 1_700;
+
 	/** Memory must be free 4 s after its last use; a lease lasts 3.5 s. */
 	private static final long MAX_RENEWAL_DELAY_MILLIS = 500;
 
@@ -82,7 +87,7 @@
 	 * Guards against memory that helpers keep for a prompt whose answering endpoint has
 	 * become silent.
 	 */
-	@Test(groups = "known-red")
+	@Test
 	public void memoryIsNotRenewedOnceTheAnsweringEndpointIsSilent() throws IOException {
 		publish(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
 		this.firstWorker.respondWith(WorkerStandIn.STREAM_OF_ONE_EVENT);
@@ -117,6 +122,29 @@
 				TimeUnit.NANOSECONDS.toMillis(nanos - silentSinceNanos.get()) + " ms after the last sign of life"));
 	}
 
+	@Test
+	public void memoryIsRenewedWhileTheAnsweringEndpointPrefills() throws IOException {
+		publish(CallerStandIn.configuration(3, "model", "app", 100_000_000, 0.0001), "model", "ready", "ready");
+		WorkerStandIn.Script script = (request, out) -> {
+			if (request.header("Request-Id").equals("large")) {
+				pause(PREFILL_MILLIS);
+			}
+			WorkerStandIn.STREAM_OF_ONE_EVENT.answer(request, out);
+		};
+		this.firstWorker.respondWith(script);
+		this.secondWorker.respondWith(script);
+		await(() -> isStreamed(450_000));
+		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+			caller.sendPrompt("/stream/large", "large", 450_000);
+			Assert.assertTrue(caller.readUntil("0\r\n\r\n").startsWith("HTTP/1.1 200"));
+		}
+		Assert.assertEquals(received().stream().filter(RelayLongPromptTests::isReservationForLargePrompt).count(), 2);
+	}
+
+	private static boolean isReservationForLargePrompt(WorkerStandIn.ReceivedRequest request) {
+		return request.body().contains("reserve") && request.body().contains("large");
+	}
+
 	private boolean isStreamed(long promptTokens) {
 		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
 			caller.sendPrompt("/stream/probe", "probe", promptTokens);
