--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/MemoryReservation.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/MemoryReservation.java
@@ -31,7 +31,7 @@
 
 	/**
 	 * An endpoint that has sent nothing for longer is asked for its status before the
-	 * lease is renewed. The lease and this time are shorter than the 4 s together.
+	 * lease is renewed. The sum of this time and the lease is below 4 s.
 	 */
 	private static final long MAX_SILENCE_MILLIS = 300;
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -218,7 +218,7 @@
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
-			checkEndpoint(true);
+			completeIfEndpointRuns(true);
 		}
 		else {
 			completeAnswer();
@@ -228,7 +228,7 @@
 	// The connection of an endpoint that has crashed ends like that of one that has
 	// finished. The check may be sent on an idle connection that ends in the same moment,
 	// so it is repeated once.
-	private void checkEndpoint(boolean isFirst) {
+	private void completeIfEndpointRuns(boolean isRepeatable) {
 		RelayService service = this.run.service();
 		String address = this.endpoints.answering().address();
 		EndpointCommand.send(service, address, service.protocol().writeStatusRequest(address), (result) -> {
@@ -238,9 +238,9 @@
 			if (result.isAnswered()) {
 				completeAnswer();
 			}
-			else if (isFirst) {
+			else if (isRepeatable) {
 				service.exchanger().closeIdle(address);
-				checkEndpoint(false);
+				completeIfEndpointRuns(false);
 			}
 			else {
 				fail(AttemptFailure.executionUnknown("the endpoint ended with the connection: " + result.detail(),
