--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -251,9 +251,7 @@
 		publishOwnEntryIfLost();
 	}
 
-	// An entry that is being written for the first time has no era yet; this is called
-	// again
-	// when the write ends.
+	// The entry has no era until its first write has ended, after which this runs again.
 	private void publishOwnEntryIfLost() {
 		boolean isWritten = this.ownEntryEra != TablePosition.NONE.era();
 		if (isWritten && this.ownEntryEra < this.era && !this.stopping) {
