--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableCopy.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableCopy.java
@@ -154,10 +154,8 @@
 		return isLater != isLaterOutdated;
 	}
 
-	// A record at a higher offset than the earlier one is newer, wherever it comes from;
-	// one
-	// at a lower offset is old if the platform was restored with it, or new if the offset
-	// was given out again.
+	// A higher offset than that of the earlier record is newer in any case. A lower
+	// one is older if it was restored, or newer if it was given out again.
 	private boolean isOutdated(Entry later, Entry earlier) {
 		boolean isWrittenAfterRestore = !this.restoredEnd.isAfter(later.position())
 				&& !this.restoredEnd.isInOtherEraThan(later.position());
