Let tests of the relay begin with all endpoints known

Cause, from its log: the fixture writes its two endpoints one after the other, the instance's read of the table fell between them (position 1:1, only i-1 listed), and the next read comes 0.9 s later; the fixture waits until any endpoint serves.

Change: the fixture writes the entries together, so that a read sees all or none. No assertion has changed.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -76,10 +78,13 @@
 	void publish(String configuration, String service, String... states) {
 		this.store.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION_KEY, configuration);
 		List<WorkerStandIn> workers = List.of(this.firstWorker, this.secondWorker);
+		Map<String, String> entries = new LinkedHashMap<>();
 		for (int i = 0; i < states.length; i++) {
 			WorkerStandIn worker = workers.get(i);
-			this.store.put(Tables.WORKERS, worker.id(), worker.entry(service, "norte-a", states[i]));
+			entries.put(worker.id(), worker.entry(service, "norte-a", states[i]));
 		}
+		// A read between two entries would let a test begin with one endpoint.
+		this.store.putAll(Tables.WORKERS, entries);
 		await(() -> exchange("GET /again/probe", "probe", "").startsWith("HTTP/1.1 200")
 				|| !service.equals("app") && exchange("POST /stream/probe", "probe", "").startsWith("HTTP/1.1 200"));
 	}
