--- a/review/standin/Bench.java
+++ b/review/standin/Bench.java
@@ -12,13 +12,19 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * What all scripts of this review share: a store, a small deployment of daemons, an HTTP
@@ -61,7 +67,7 @@
 		this.folder = folder;
 		this.record = folder.resolve("record.txt");
 		Files.write(this.record, new byte[0]);
-		this.temporary = Files.createTempDirectory("review");
+		this.temporary = Files.createTempDirectory("poplarloom-review");
 		this.store = new Store();
 		this.configPrefix = "127." + (20 + (int) (ProcessHandle.current().pid() % 200)) + ".";
 		for (int i = 0; this.addresses.size() < daemonCount && i < 250; i++) {
@@ -93,7 +99,7 @@
 	synchronized void log(String format, Object... values) {
 		String line = String.format("%8.3f ", System.nanoTime() / 1e9 % 100_000) + String.format(format, values) + "\n";
 		try {
-			Files.writeString(this.record, line, java.nio.file.StandardOpenOption.APPEND);
+			Files.writeString(this.record, line, StandardOpenOption.APPEND);
 		}
 		catch (IOException ex) {
 			System.err.println("record: " + ex.getMessage());
@@ -140,6 +146,12 @@
 			}
 		}
 		this.store.close();
+		try (Stream<Path> files = Files.walk(this.temporary)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			// It was deleted by an earlier call.
+		}
 	}
 
 	/** One instance of the project's daemon. */
@@ -447,7 +459,7 @@
 		private synchronized byte[] append(Map<String, String> query, byte[] body) {
 			int keyLength = body[4] & 0xff;
 			String key = new String(body, 5, keyLength, StandardCharsets.UTF_8);
-			byte[] value = java.util.Arrays.copyOfRange(body, 5 + keyLength, body.length);
+			byte[] value = Arrays.copyOfRange(body, 5 + keyLength, body.length);
 			topic(query.get("topic")).add(new Entry(key, value));
 			notifyAll();
 			int end = topic(query.get("topic")).size();
@@ -495,7 +507,7 @@
 
 		}
 
-		private final java.util.Set<Socket> channels = java.util.concurrent.ConcurrentHashMap.newKeySet();
+		private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
 
 		Worker(String id, int port, Behaviour behaviour) throws IOException {
 			this.id = id;
