--- a/review/standin/Bench.java
+++ b/review/standin/Bench.java
@@ -583,6 +583,10 @@
 			out.flush();
 		}
 
+		boolean isClosed() {
+			return this.server.isClosed();
+		}
+
 		/** Ends like a crashed process: the port and all channels close. */
 		@Override
 		public void close() throws IOException {
--- a/review/standin/ColdZone.java
+++ b/review/standin/ColdZone.java
@@ -25,6 +25,9 @@
 
 	private static final int COLD_MILLIS = 3_000;
 
+	/** A cold worker crashes at a rate well above the one that it tolerates. */
+	private static final double CRASH_PER_S = 3 * COLD_PER_S;
+
 	/** 1,460 tokens read at 154 a ms and 80 tokens written at 1.31 ms each. */
 	private static final long WORK_MILLIS = 114;
 
@@ -51,13 +54,24 @@
 		System.exit(code);
 	}
 
-	private static Bench.Worker worker(Bench bench, String id, List<Long> arrivals) throws IOException {
+	private static Bench.Worker worker(Bench bench, String id, List<Long> arrivals, long coldUntil) throws IOException {
 		Semaphore slots = new Semaphore(SLOTS, true);
-		return new Bench.Worker(id, 0, (request, in, out) -> {
+		Bench.Worker[] self = new Bench.Worker[1];
+		AtomicInteger running = new AtomicInteger();
+		self[0] = new Bench.Worker(id, 0, (request, in, out) -> {
+			long now = System.nanoTime() / 1_000_000;
+			bench.log("%s gets %s", id, request.header("Request-Id"));
+			running.incrementAndGet();
 			synchronized (arrivals) {
-				arrivals.add(System.nanoTime() / 1_000_000);
+				arrivals.add(now);
+				long lastSecond = arrivals.stream().filter((arrival) -> arrival > now - 1_000).count();
+				if (now < coldUntil && lastSecond > CRASH_PER_S) {
+					bench.log("%s crashes while cold, after %d requests in one second, %d in progress", id, lastSecond,
+							running.get());
+					self[0].close();
+					return false;
+				}
 			}
-			bench.log("%s gets %s", id, request.header("Request-Id"));
 			if (!slots.tryAcquire(2, TimeUnit.SECONDS)) {
 				Bench.Worker.write(out, "HTTP/1.1 503 X\r\nRequest-Id: " + request.header("Request-Id")
 						+ "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -68,6 +82,7 @@
 			}
 			finally {
 				slots.release();
+				running.decrementAndGet();
 			}
 			String event = "id: 80\ndata: all\n\n";
 			Bench.Worker.write(out, Bench.Worker.head(request, 200,
@@ -75,6 +90,7 @@
 					+ "\r\n" + event + "\r\n0\r\n\r\n");
 			return true;
 		});
+		return self[0];
 	}
 
 	private static int run(Bench bench) throws Exception {
@@ -92,7 +108,7 @@
 		List<List<Long>> cold = List.of(new ArrayList<>(), new ArrayList<>());
 		List<Bench.Worker> workers = new ArrayList<>();
 		for (int i = 0; i < 4; i++) {
-			Bench.Worker worker = worker(bench, "i-0" + i, new ArrayList<>());
+			Bench.Worker worker = worker(bench, "i-0" + i, new ArrayList<>(), 0);
 			workers.add(worker);
 			bench.store.put("keyed.servers", worker.id, worker.entry("huvo11a", ZONES.get(i / 2), SLOTS, "ready", 0, 1));
 		}
@@ -117,7 +133,7 @@
 			coldFrom = System.nanoTime() / 1_000_000;
 			List<Bench.Worker> back = new ArrayList<>();
 			for (int i = 0; i < 2; i++) {
-				Bench.Worker worker = worker(bench, "i-1" + i, cold.get(i));
+				Bench.Worker worker = worker(bench, "i-1" + i, cold.get(i), coldFrom + COLD_MILLIS);
 				back.add(worker);
 				bench.store.put("keyed.servers", worker.id,
 						worker.entry("huvo11a", ZONES.get(0), SLOTS, "ready", COLD_MILLIS, 1));
@@ -125,9 +141,17 @@
 			}
 			Thread.sleep(COLD_MILLIS);
 			for (Bench.Worker worker : back) {
-				bench.store.put("keyed.servers", worker.id,
-						worker.entry("huvo11a", ZONES.get(0), SLOTS, "ready", 0, 2));
-				bench.log("%s is warm", worker.id);
+				if (!worker.isClosed()) {
+					bench.store.put("keyed.servers", worker.id,
+							worker.entry("huvo11a", ZONES.get(0), SLOTS, "ready", 0, 2));
+					bench.log("%s is warm", worker.id);
+				}
+			}
+			Thread.sleep(HEARTBEATS_MILLIS - COLD_MILLIS);
+			for (Bench.Worker worker : back) {
+				if (worker.isClosed()) {
+					bench.store.put("keyed.servers", worker.id, "");
+				}
 			}
 		}
 		Thread.sleep(Math.max(0, TRAFFIC_MILLIS + 1_000 - (System.nanoTime() - start) / 1_000_000));
