--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterTests.java
@@ -0,0 +1,55 @@
+package org.poplarloom.entry.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.poplarloom.platform.standin.WorkerStandIn;
+
+/**
+ * Tests of endpoints that write a part of an earlier answer before the next answer on the
+ * same connection.
+ */
+public class RelayStutterTests extends RelayFixture {
+
+	private static final String EARLIER_ANSWER_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+			+ "Request-Id: earlier\r\nServer-Stamp: 3e1b.earlier\r\nServer-Load: 1,0,4\r\n"
+			+ "Transfer-Encoding: chunked\r\n\r\n";
+
+	private static final String FAILURE_BODY = "id: 9\ndata: failed\n\n";
+
+	@DataProvider
+	public static Object[][] contentTypes() {
+		return new Object[][] { { "text/event-stream" }, { "text/plain" } };
+	}
+
+	/**
+	 * Guards against an error response that is passed on as a success because the cut-off
+	 * head of an earlier answer precedes it.
+	 */
+	@Test(dataProvider = "contentTypes", groups = "known-red")
+	public void anErrorAfterAPartOfAnEarlierHeadIsNeverASuccess(String contentType) {
+		configure("model", "ready");
+		List<Integer> misread = new ArrayList<>();
+		for (int length = 1; length <= EARLIER_ANSWER_HEAD.length(); length++) {
+			String part = EARLIER_ANSWER_HEAD.substring(0, length);
+			this.firstWorker.respondWith((request, out) -> {
+				out.write(part
+						+ out.head(request, 500,
+								"Content-Type: " + contentType + "\r\nContent-Length: " + FAILURE_BODY.length())
+						+ FAILURE_BODY);
+				out.close();
+			});
+			if (exchange("POST /stream/x", "r" + length, "{}").startsWith("HTTP/1.1 200")) {
+				misread.add(length);
+			}
+			this.firstWorker.respondWith(WorkerStandIn.ANSWER_OF_EACH_KIND);
+			await(() -> exchange("POST /stream/x", "probe", "{}").startsWith("HTTP/1.1 200"));
+		}
+		Assert.assertEquals(misread, List.of(), "bytes of the earlier head after which the error became a success");
+	}
+
+}
