Log and count responses and data that belong to no request

Cause: a skipped response and data on an idle connection left no line, and a line of an ended request named neither the endpoint nor whether its connection had been used before.

Change: event=response_skipped and event=unexpected_data with counters; the number of the exchange on its connection in event=attempt_failed and event=ended, which also names the endpoint. No decision changes.

Measured: the tests of the relay pass (55 of poplarloom-entry); the new one fails without the counters.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -100,6 +100,7 @@
 				new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
 		this.metrics = this.relay.metrics();
 		this.metrics.registerGauge("connections.opened", exchanger::openedConnections);
+		this.metrics.registerGauge("connections.unexpected_data", exchanger::connectionsWithUnexpectedData);
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
@@ -51,7 +51,7 @@
 	}
 
 	@Override
-	public boolean head(HttpResponse head) {
+	public boolean head(HttpResponse head, int exchangeNumber) {
 		this.status = head.status();
 		return true;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.port.http.ExchangeListener;
@@ -25,6 +27,8 @@
  */
 final class RelayAttempt implements ExchangeListener {
 
+	private static final Logger logger = LoggerFactory.getLogger(RelayAttempt.class);
+
 	/** Limit for answers that are not streamed, since these are buffered in memory. */
 	private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -59,6 +63,8 @@
 
 	private Reply replyKind;
 
+	private int exchangeNumber;
+
 	private boolean firstByteReceived;
 
 	private long firstByteMillis;
@@ -85,6 +91,14 @@
 		return this.endpoints.answering().bootId();
 	}
 
+	/**
+	 * Returns the number of the exchange on its connection.
+	 * @return the number, from 1, or 0 if no response has begun
+	 */
+	int exchangeNumber() {
+		return this.exchangeNumber;
+	}
+
 	/**
 	 * Sends the request, after all helpers that need memory for it have reserved it.
 	 */
@@ -121,9 +135,13 @@
 	}
 
 	@Override
-	public boolean head(HttpResponse response) {
+	public boolean head(HttpResponse response, int numberOnConnection) {
+		this.exchangeNumber = numberOnConnection;
 		Reply reply = this.run.service().protocol().classify(this.run.request(), response);
 		if (reply == Reply.OTHER_REQUEST) {
+			logger.info("request={} event=response_skipped endpoint={} exchange={} status={}", this.run.request().id(),
+					endpoint(), numberOnConnection, response.status().code());
+			this.run.service().metrics().recordSkippedResponse();
 			return false;
 		}
 		this.head = response;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
@@ -51,6 +51,13 @@
 		this.registry.counter(mayHaveRun ? "attempts.failed_unknown" : "attempts.failed_not_run").inc();
 	}
 
+	/**
+	 * Records a response that belonged to another request than the one in progress.
+	 */
+	void recordSkippedResponse() {
+		this.registry.counter("responses.skipped").inc();
+	}
+
 	/**
 	 * Registers a gauge, which is read each time the metrics are written.
 	 * @param name the name
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -189,10 +189,10 @@
 		this.mayHaveRun |= failure.mayHaveRun();
 		this.excluded.add((failure.faultyEndpoint() != null) ? failure.faultyEndpoint() : failed.endpoint());
 		logger.info(
-				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} faulty={} mayHaveRun={}"
+				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} exchange={} faulty={} mayHaveRun={}"
 						+ " shared_parts={} cause=\"{}\"",
-				this.request.id(), this.attemptCount, failed.endpoint(), failed.bootId(), failure.faultyEndpoint(),
-				failure.mayHaveRun(), this.request.sharedParts(), failure.cause());
+				this.request.id(), this.attemptCount, failed.endpoint(), failed.bootId(), failed.exchangeNumber(),
+				failure.faultyEndpoint(), failure.mayHaveRun(), this.request.sharedParts(), failure.cause());
 		this.service.metrics().recordFailedAttempt(failure.mayHaveRun());
 		if (failure.answer() != null) {
 			this.endpointFailure = failure;
@@ -334,10 +334,12 @@
 		this.service.metrics().recordEnd(outcome, this.request.promptTokens(), this.firstEventMillis, ageMillis);
 		logger.info(
 				"request={} event=ended outcome={} detail=\"{}\" route={} service={} team={} prompt={} attempts={}"
-						+ " parts={} configuration={} first_ms={} pause_ms={} age_ms={}",
+						+ " endpoint={} exchange={} parts={} configuration={} first_ms={} pause_ms={} age_ms={}",
 				this.request.id(), outcome, detail, (this.route != null) ? this.route.name() : "", this.serviceName,
-				teamId(), this.request.promptTokens(), this.attemptCount, this.endpointCount, this.configurationVersion,
-				this.firstEventMillis, this.maxPauseMillis, ageMillis);
+				teamId(), this.request.promptTokens(), this.attemptCount,
+				(this.attempt != null) ? this.attempt.endpoint() : "",
+				(this.attempt != null) ? this.attempt.exchangeNumber() : 0, this.endpointCount,
+				this.configurationVersion, this.firstEventMillis, this.maxPauseMillis, ageMillis);
 	}
 
 	/**
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterTests.java
@@ -52,4 +52,22 @@
 		Assert.assertEquals(misread, List.of(), "bytes of the earlier head after which the error became a success");
 	}
 
+	@Test
+	public void responsesAndDataThatBelongToNoRequestAreCounted() {
+		configure("app", "ready");
+		this.firstWorker.respondWith((request, out) -> {
+			out.write("HTTP/1.1 200 X\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n");
+			out.answer(request, "mine");
+		});
+		exchange("GET /again/x", "r1", "");
+		Assert.assertTrue(metrics().contains("poplarloom_responses_skipped 1"), metrics());
+		this.firstWorker.respondWith((request, out) -> {
+			out.answer(request, "mine");
+			pause();
+			out.write("HTTP/1.1 200 X\r\n\r\n");
+		});
+		exchange("GET /again/x", "r2", "");
+		await(() -> metrics().contains("poplarloom_connections_unexpected_data 1"));
+	}
+
 }
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection of an {@link HttpExchanger}.
@@ -34,6 +36,8 @@
 	/** A response to another request is skipped up to this size. */
 	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
+	private static final Logger logger = LoggerFactory.getLogger(HttpConnection.class);
+
 	private final HttpExchanger exchanger;
 
 	private final String address;
@@ -48,6 +52,8 @@
 
 	private boolean isSkippingResponse;
 
+	private int exchangeNumber;
+
 	private int interimResponses;
 
 	private int skippedBytes;
@@ -85,6 +91,7 @@
 
 	private void write(CurrentExchange next) {
 		next.isSent = true;
+		this.exchangeNumber++;
 		this.hasResponseStarted = false;
 		this.interimResponses = 0;
 		this.isKeepAlive = false;
@@ -118,8 +125,7 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
 		if (this.current == null) {
-			this.isReuseForbidden = true;
-			ctx.close();
+			closeForUnexpectedData();
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -136,7 +142,7 @@
 			this.hasResponseStarted = true;
 			this.isKeepAlive = HttpUtil.isKeepAlive(head) && hasBodyLength(head);
 			this.keepAliveMillis = keepAliveMillis(head);
-			this.isSkippingResponse = !this.current.listener.head(head);
+			this.isSkippingResponse = !this.current.listener.head(head, this.exchangeNumber);
 			this.isReuseForbidden |= this.isSkippingResponse;
 		}
 		if (message instanceof HttpContent content && this.current != null && this.hasResponseStarted) {
@@ -156,6 +162,14 @@
 		}
 	}
 
+	private void closeForUnexpectedData() {
+		if (!this.isReuseForbidden) {
+			logger.info("address={} event=unexpected_data exchange={}", this.address, this.exchangeNumber);
+			this.exchanger.countUnexpectedData();
+		}
+		close();
+	}
+
 	private static boolean hasBodyLength(HttpResponse head) {
 		return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -49,6 +49,8 @@
 
 	private long openedConnections;
 
+	private long connectionsWithUnexpectedData;
+
 	public HttpExchanger(EventLoop loop) {
 		this.loop = loop;
 		loop.scheduleWithFixedDelay(this::closeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
@@ -157,6 +159,18 @@
 		return this.openedConnections;
 	}
 
+	void countUnexpectedData() {
+		this.connectionsWithUnexpectedData++;
+	}
+
+	/**
+	 * Returns how many idle connections were closed because data arrived on them.
+	 * @return the count, from 0
+	 */
+	public long connectionsWithUnexpectedData() {
+		return this.connectionsWithUnexpectedData;
+	}
+
 	/**
 	 * An exchange in progress. Its methods are called on the event loop.
 	 */
