Take a response without an id on a used connection for no proof

Also MIXED: an earlier error without an id was passed on as the answer to another request.

Cause: the id of a response was compared only where it had one. A response without an id can be the answer to the request in progress only if its connection has delivered none before.

Change: the classification knows the number of the exchange on its connection; from the second on, a response without an id is unverified. The connection of an unverified response is closed after it, since the true one may follow.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -15,6 +15,7 @@
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
+import org.poplarloom.port.http.ResponseHandling;
 import org.poplarloom.port.relay.Dispatch;
 import org.poplarloom.port.relay.EndpointProtocol;
 import org.poplarloom.port.relay.EndpointProtocol.Reply;
@@ -135,18 +136,18 @@
 	}
 
 	@Override
-	public boolean head(HttpResponse response, int numberOnConnection) {
+	public ResponseHandling head(HttpResponse response, int numberOnConnection) {
 		this.exchangeNumber = numberOnConnection;
-		Reply reply = this.run.service().protocol().classify(this.run.request(), response);
+		Reply reply = this.run.service().protocol().classify(this.run.request(), response, numberOnConnection);
 		if (reply == Reply.OTHER_REQUEST) {
 			logger.info("request={} event=response_skipped endpoint={} exchange={} status={}", this.run.request().id(),
 					endpoint(), numberOnConnection, response.status().code());
 			this.run.service().metrics().recordSkippedResponse();
-			return false;
+			return ResponseHandling.SKIP;
 		}
 		this.head = response;
 		this.replyKind = reply;
-		return true;
+		return (reply == Reply.UNVERIFIED) ? ResponseHandling.READ_AND_CLOSE : ResponseHandling.READ;
 	}
 
 	@Override
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterTests.java
@@ -70,4 +70,51 @@
 		await(() -> metrics().contains("poplarloom_connections_unexpected_data 1"));
 	}
 
+	@DataProvider
+	public static Object[] refusals() {
+		return new Object[] { "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+				"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n" };
+	}
+
+	/**
+	 * Guards against an order that is refused as not run, or run again elsewhere, because
+	 * an earlier refusal without an id arrived once more.
+	 */
+	@Test(dataProvider = "refusals")
+	public void aRepeatedRefusalWithoutAnIdIsNoProofThatAnOrderDidNotRun(String refusal) {
+		configure("app", "ready", "ready");
+		warmConnections(refusal);
+		String answer = exchange("POST /once/x", "r1", "swap");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		Assert.assertEquals(receivedCount("r1"), 1);
+	}
+
+	/** Guards against an error that is passed on although it answers another request. */
+	@Test
+	public void anErrorWithoutAnIdOnAUsedConnectionIsNotPassedOn() {
+		configure("app", "ready");
+		String error = "HTTP/1.1 500 X\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nother";
+		warmConnections(error);
+		String answer = exchange("POST /once/x", "r1", "swap");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		Assert.assertFalse(answer.contains("other") || answer.contains("Server-Stamp"), answer);
+	}
+
+	// Leaves one used connection to each endpoint, on which the next request gets the
+	// text before its answer.
+	private void warmConnections(String text) {
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith(WorkerStandIn.ANSWER_OF_EACH_KIND);
+		}
+		for (int i = 0; i < 8; i++) {
+			exchange("GET /again/x", "warm" + i, "");
+		}
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				out.write(text);
+				out.answer(request, "ok");
+			});
+		}
+	}
+
 }
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
@@ -22,9 +22,11 @@
 	 * Classifies a response.
 	 * @param request the caller's request
 	 * @param head the status line and the headers of the response
+	 * @param exchangeNumber the number of the exchange on its connection, from 1; from
+	 * the second exchange on, a response without an id may be one that was sent before
 	 * @return the class of the response
 	 */
-	Reply classify(RelayRequest request, HttpResponse head);
+	Reply classify(RelayRequest request, HttpResponse head, int exchangeNumber);
 
 	/**
 	 * Encodes a command that reserves memory or renews the lease of a reservation.
