Tell a stray answer from the reply to a command

Cause: a command or a status check took the next response on a used connection for its reply, also the late second answer to a request.

Change: a response with the id of a request is skipped where the reply to a command is expected, and the check whether an endpoint still runs is sent on a new connection, which a process that has ended does not accept.

Measured: of RelayStrayReplyTests, anAnswerThatIsWrittenTwiceIsNotTheReplyToAnOrder and the three cases of anAnswerWhoseEndpointHasCrashedIsNotCompletedByAStrayReply failed on and pass now, and so do RelayUndelimitedAnswerTests and RelayLongPromptTests. The check is no longer repeated: a new connection does not end with an idle one.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
@@ -11,6 +11,7 @@
 
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
+import org.poplarloom.port.relay.EndpointProtocol;
 
 /**
  * A short request to an endpoint, of whose response only the status matters.
@@ -22,6 +23,8 @@
 
 	private static final long TIMEOUT_MILLIS = 500;
 
+	private final EndpointProtocol protocol;
+
 	private final Consumer<Result> onResult;
 
 	private ScheduledFuture<?> timeout;
@@ -30,7 +33,8 @@
 
 	private boolean finished;
 
-	private EndpointCommand(Consumer<Result> onResult) {
+	private EndpointCommand(EndpointProtocol protocol, Consumer<Result> onResult) {
+		this.protocol = protocol;
 		this.onResult = onResult;
 	}
 
@@ -42,16 +46,34 @@
 	 * @param onResult receives the result
 	 */
 	static void send(RelayService service, String address, FullHttpRequest request, Consumer<Result> onResult) {
-		EndpointCommand command = new EndpointCommand(onResult);
-		HttpExchanger.Exchange exchange = service.exchanger().send(address, request, command);
-		command.timeout = service.loop().schedule(() -> {
+		EndpointCommand command = new EndpointCommand(service.protocol(), onResult);
+		command.startTimeout(service, service.exchanger().send(address, request, command));
+	}
+
+	/**
+	 * Checks on a new connection whether an endpoint runs.
+	 * @param service the relay
+	 * @param address the host and port of the endpoint
+	 * @param onResult receives the result
+	 */
+	static void checkRunning(RelayService service, String address, Consumer<Result> onResult) {
+		EndpointCommand command = new EndpointCommand(service.protocol(), onResult);
+		FullHttpRequest request = service.protocol().writeStatusRequest(address);
+		command.startTimeout(service, service.exchanger().sendOnNewConnection(address, request, command));
+	}
+
+	private void startTimeout(RelayService service, HttpExchanger.Exchange exchange) {
+		this.timeout = service.loop().schedule(() -> {
 			exchange.cancel();
-			command.finish(new Result(null, "no answer within " + TIMEOUT_MILLIS + " ms"));
+			finish(new Result(null, "no answer within " + TIMEOUT_MILLIS + " ms"));
 		}, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
 	public boolean head(HttpResponse head, int exchangeNumber) {
+		if (!this.protocol.isCommandReply(head)) {
+			return false;
+		}
 		this.status = head.status();
 		return true;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -277,7 +277,7 @@
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
-			completeIfEndpointRuns(true);
+			completeIfEndpointRuns();
 		}
 		else {
 			completeAnswer();
@@ -285,22 +285,15 @@
 	}
 
 	// The connection of an endpoint that has crashed ends like that of one that has
-	// finished. The check may be sent on an idle connection that ends in the same moment,
-	// so it is repeated once.
-	private void completeIfEndpointRuns(boolean isRepeatable) {
-		RelayService service = this.run.service();
-		String address = this.endpoints.answering().address();
-		EndpointCommand.send(service, address, service.protocol().writeStatusRequest(address), (result) -> {
+	// finished.
+	private void completeIfEndpointRuns() {
+		EndpointCommand.checkRunning(this.run.service(), this.endpoints.answering().address(), (result) -> {
 			if (this.ended) {
 				return;
 			}
 			if (result.isAnswered()) {
 				completeAnswer();
 			}
-			else if (isRepeatable) {
-				service.exchanger().closeIdle(address);
-				completeIfEndpointRuns(false);
-			}
 			else {
 				fail(AttemptFailure.executionUnknown("the endpoint ended with the connection: " + result.detail(),
 						true), null);
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -69,7 +69,7 @@
 		if (idleConnection != null) {
 			return idleConnection.start(request, listener);
 		}
-		return open(address, request, listener);
+		return sendOnNewConnection(address, request, listener);
 	}
 
 	private HttpConnection takeIdle(String address) {
@@ -84,7 +84,15 @@
 		return null;
 	}
 
-	private Exchange open(String address, FullHttpRequest request, ExchangeListener listener) {
+	/**
+	 * Starts an exchange on a new connection, which cannot deliver the response to an
+	 * earlier request.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange sendOnNewConnection(String address, FullHttpRequest request, ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
 		int colon = address.lastIndexOf(':');
 		InetSocketAddress endpointAddress = new InetSocketAddress(address.substring(0, colon),
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
@@ -28,6 +28,13 @@
 	 */
 	Reply classify(RelayRequest request, HttpResponse head, int exchangeNumber);
 
+	/**
+	 * Returns whether a response may be the reply to a command or a status request.
+	 * @param head the status line and the headers of the response
+	 * @return false if it is the answer to a caller's request
+	 */
+	boolean isCommandReply(HttpResponse head);
+
 	/**
 	 * Encodes a command that reserves memory or renews the lease of a reservation.
 	 * @param address the endpoint's host and port
