Take only a stream of events for the continuation of a stream

What callers saw: a stream had begun and broke off, the next endpoint answered with 404, 400, 302, 204, 206 or with a 200 of another type. The relay wrote this answer, head and all, to the connection of the stream. Netty's encoder refuses a head between two chunks, so the connection was closed; no byte of the error reached the caller.

Cause: an attempt did not know that the stream had begun, and completed the run with any answer.

Change: an attempt that continues a stream fails unless its answer is a stream of events with status 200 and a receipt; the request goes to another endpoint if one is left, or else the stream is broken off, and logged so. It fails with the first byte of the body, since such an answer may never end.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -53,6 +53,9 @@
 
 	private final String reservationId;
 
+	/** Whether an earlier attempt has begun the stream that this one must continue. */
+	private final boolean isContinuation;
+
 	private HttpExchanger.Exchange exchange;
 
 	private HttpResponse head;
@@ -75,6 +78,7 @@
 		this.reservation = endpoints.reservingHelpers().isEmpty() ? null
 				: new MemoryReservation(reservationId, endpoints, () -> this.lastReceivedMillis, run.service());
 		this.reservationId = reservationId;
+		this.isContinuation = run.isStreamStarted();
 	}
 
 	EndpointId endpoint() {
@@ -146,6 +150,11 @@
 			}
 			return;
 		}
+		if (this.isContinuation && this.replyKind == Reply.ANSWER) {
+			this.exchange.cancel();
+			failNoStream();
+			return;
+		}
 		if (this.body.size() + content.readableBytes() > MAX_BODY_BYTES) {
 			failTooLarge("answer", MAX_BODY_BYTES);
 			return;
@@ -155,6 +164,15 @@
 		this.body.writeBytes(bytes);
 	}
 
+	private void failNoStream() {
+		failNotContinued("status " + this.head.status().code() + ", type "
+				+ this.head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+	}
+
+	private void failNotContinued(String detail) {
+		fail(AttemptFailure.executionUnknown("answer does not continue the stream: " + detail, false), null);
+	}
+
 	private void failTooLarge(String part, int maxBytes) {
 		this.exchange.cancel();
 		fail(AttemptFailure.executionUnknown(part + " is larger than " + maxBytes + " bytes", false), null);
@@ -214,7 +232,10 @@
 	}
 
 	private void endAnswer() {
-		if (isStream() && isBrokenOff()) {
+		if (this.isContinuation && !isStream()) {
+			failNoStream();
+		}
+		else if (isStream() && isBrokenOff()) {
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -389,6 +389,15 @@
 		return this.deadlineMillis - this.service.nowMillis();
 	}
 
+	/**
+	 * Returns whether the caller has received the head of a stream, which only events of
+	 * this stream may follow.
+	 * @return true if an earlier attempt has begun the stream
+	 */
+	boolean isStreamStarted() {
+		return this.streamStarted;
+	}
+
 	long lastEventId() {
 		return this.lastEventId;
 	}
