Join a stream only from events that follow each other

A stream without ids was even started again from its beginning in the middle of the answer.

Cause: the run dropped events with ids up to the last one and passed on all others, whatever they followed; without an id there was no Last-Event-Id to continue at, and the request was sent again all the same.

Change: StreamPosition says what the caller has received. An event of a continuation must have a higher id, the next one if the ids so far rose by one each (ids may count tokens, so a jump alone proves nothing); the last event may come once more if it is the same in each byte. Anything else fails the attempt. A stream whose last event has no id is not continued.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EventBuffer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EventBuffer.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -19,6 +20,8 @@
 
 	private static final String ID_FIELD = "id:";
 
+	private static final String DATA_FIELD = "data";
+
 	private final ByteBuf pending = Unpooled.buffer();
 
 	/** Bytes after the reader index that have been searched for the end of the event. */
@@ -40,7 +43,7 @@
 			this.pending.readBytes(bytes);
 			this.searchedBytes = 0;
 			this.lineEmpty = false;
-			events.add(new Event(id(bytes), bytes));
+			events.add(event(bytes));
 			end = endOfEvent();
 		}
 		this.pending.discardSomeReadBytes();
@@ -64,8 +67,15 @@
 		return -1;
 	}
 
-	private static long id(byte[] event) {
-		for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
+	private static Event event(byte[] bytes) {
+		String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\r?\n");
+		long id = id(lines);
+		boolean hasData = Arrays.stream(lines).anyMatch((line) -> line.startsWith(DATA_FIELD));
+		return new Event(id, bytes, id == RelayRequest.NO_EVENT && !hasData);
+	}
+
+	private static long id(String[] lines) {
+		for (String line : lines) {
 			if (line.startsWith(ID_FIELD)) {
 				try {
 					return Long.parseLong(line.substring(ID_FIELD.length()).trim());
@@ -91,8 +101,9 @@
 	 *
 	 * @param id its numeric id, or {@link RelayRequest#NO_EVENT} if it has none
 	 * @param bytes its bytes including the empty line at the end
+	 * @param isComment whether it has neither an id nor data, so that receivers ignore it
 	 */
-	record Event(long id, byte[] bytes) {
+	record Event(long id, byte[] bytes, boolean isComment) {
 	}
 
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -118,7 +118,7 @@
 			.toList();
 		int rank = RANK_AT_PRIORITY_ZERO - this.endpoints.priority() / PRIORITY_PER_RANK;
 		Dispatch dispatch = new Dispatch(endpoint().value(), this.run.teamName(), this.run.remainingMillis(), rank,
-				helpers, this.run.lastEventId());
+				helpers, this.run.position().lastEventId());
 		this.exchange = this.run.service()
 			.exchanger()
 			.send(this.endpoints.answering().address(), protocol.write(this.run.request(), dispatch), this);
@@ -142,12 +142,7 @@
 		}
 		recordProgress();
 		if (isStream()) {
-			for (EventBuffer.Event event : this.events.add(content)) {
-				this.run.writeEvent(this.head, event);
-			}
-			if (this.events.pendingBytes() > MAX_EVENT_BYTES) {
-				failTooLarge("event", MAX_EVENT_BYTES);
-			}
+			writeEvents(content);
 			return;
 		}
 		if (this.isContinuation && this.replyKind == Reply.ANSWER) {
@@ -164,6 +159,20 @@
 		this.body.writeBytes(bytes);
 	}
 
+	private void writeEvents(ByteBuf content) {
+		for (EventBuffer.Event event : this.events.add(content)) {
+			if (this.isContinuation && !this.run.position().isContinuedBy(event)) {
+				this.exchange.cancel();
+				failNotContinued("event " + event.id() + " after event " + this.run.position().lastEventId());
+				return;
+			}
+			this.run.writeEvent(this.head, event);
+		}
+		if (this.events.pendingBytes() > MAX_EVENT_BYTES) {
+			failTooLarge("event", MAX_EVENT_BYTES);
+		}
+	}
+
 	private void failNoStream() {
 		failNotContinued("status " + this.head.status().code() + ", type "
 				+ this.head.headers().get(HttpHeaderNames.CONTENT_TYPE));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -57,6 +57,8 @@
 
 	private final Set<EndpointId> excluded = new HashSet<>();
 
+	private final StreamPosition position;
+
 	private Route route;
 
 	private RoutingTable.Team team;
@@ -93,14 +95,12 @@
 
 	private int endpointCount;
 
-	private long lastEventId;
-
 	RelayRun(RelayService service, RelayRequest request, CallerReply reply) {
 		this.service = service;
 		this.request = request;
 		this.reply = reply;
 		this.startedMillis = service.nowMillis();
-		this.lastEventId = request.lastEventId();
+		this.position = new StreamPosition(request.lastEventId());
 	}
 
 	void start(RoutingTable table, Route chosen, RoutingTable.Team caller) {
@@ -205,7 +205,7 @@
 			}
 		}
 		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
-				&& (!this.streamStarted || this.route.retryMode() == Route.RetryMode.RESUME));
+				&& (!this.streamStarted || (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
 		if (mayRetry && this.attemptCount < this.route.maxAttempts() && this.service.trySpendRetry(this.serviceName)) {
 			acquireGrant();
 			return;
@@ -287,12 +287,10 @@
 	 * @param event the event
 	 */
 	void writeEvent(HttpResponse head, EventBuffer.Event event) {
-		if (event.id() != RelayRequest.NO_EVENT) {
-			if (event.id() <= this.lastEventId) {
-				return;
-			}
-			this.lastEventId = event.id();
+		if (this.position.isRepetition(event)) {
+			return;
 		}
+		this.position.advance(event);
 		startStream(head);
 		recordPause();
 		this.reply.writeChunk(event.bytes());
@@ -316,7 +314,7 @@
 
 	void endStream(HttpResponse head) {
 		startStream(head);
-		complete("streamed", "last event " + this.lastEventId + " framing=" + AnswerFraming.of(head).text());
+		complete("streamed", "last event " + this.position.lastEventId() + " framing=" + AnswerFraming.of(head).text());
 		this.reply.endStream();
 	}
 
@@ -389,6 +387,10 @@
 		return this.deadlineMillis - this.service.nowMillis();
 	}
 
+	StreamPosition position() {
+		return this.position;
+	}
+
 	/**
 	 * Returns whether the caller has received the head of a stream, which only events of
 	 * this stream may follow.
@@ -398,8 +400,4 @@
 		return this.streamStarted;
 	}
 
-	long lastEventId() {
-		return this.lastEventId;
-	}
-
 }
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
@@ -7,6 +7,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.standin.CallerStandIn;
 import org.poplarloom.platform.standin.WorkerStandIn;
 
 /**
@@ -123,4 +125,85 @@
 				+ STREAM + "\r\n\r\n" + chunk(event(3, "other")) + LAST_CHUNK)));
 	}
 
+	@DataProvider
+	public static Object[] otherRuns() {
+		return new Object[] { event(1, "other 1") + event(2, "other 2") + event(3, "other 3"),
+				event(2, "other 2") + event(3, "other 3"), event(4, "other 4"), event(1, "piece 1") + event(3, "other"),
+				"data: other\n\n", "id: x\ndata: other\n\n" };
+	}
+
+	/**
+	 * Guards against a stream that is joined from two runs: one that starts over, one in
+	 * which an event is missing and one whose place is unknown.
+	 */
+	@Test(dataProvider = "otherRuns")
+	public void eventsThatDoNotFollowTheLastOneBreakTheStreamOff(String events) {
+		assertBrokenOff(answerAfterTwoEvents(
+				(request, out) -> out.write(out.head(request, 200, STREAM) + chunk(events) + LAST_CHUNK)));
+	}
+
+	/**
+	 * Guards against a stream without ids that starts over in the middle: nothing says
+	 * where another endpoint had to continue it.
+	 */
+	@Test
+	public void aStreamWithoutIdsIsNotContinued() {
+		String answer = answerAfter("data: piece 1\n\ndata: piece 2\n\n",
+				(request, out) -> out.write(out.head(request, 200, STREAM) + chunk("data: other\n\n") + LAST_CHUNK));
+		Assert.assertTrue(answer.contains("piece 2") && !answer.contains("other"), answer);
+		Assert.assertFalse(answer.endsWith(LAST_CHUNK), answer);
+		Assert.assertEquals(receivedCount("r1"), 1);
+	}
+
+	@DataProvider
+	public static Object[][] continuations() {
+		return new Object[][] { { event(1, "piece 1") + event(2, "piece 2"), event(3, "piece 3") },
+				{ event(1, "piece 1") + event(2, "piece 2"), event(2, "piece 2") + event(3, "piece 3") },
+				{ event(1, "piece 1") + event(35, "piece 35"), event(69, "piece 69") },
+				{ event(1, "piece 1"), event(35, "piece 35") }, { ": soon\n\n", event(1, "piece 1") } };
+	}
+
+	/**
+	 * Guards against continuations that are broken off although they follow: ids may count
+	 * tokens, an endpoint may repeat the last event, and comments are no events.
+	 */
+	@Test(dataProvider = "continuations")
+	public void eventsThatFollowTheLastOneCompleteTheStream(String events, String followingEvents) {
+		String answer = answerAfter(events,
+				(request, out) -> out.write(out.head(request, 200, STREAM) + chunk(followingEvents) + LAST_CHUNK));
+		String last = followingEvents.substring(followingEvents.lastIndexOf("piece"));
+		Assert.assertTrue(answer.contains(last) && answer.endsWith(LAST_CHUNK), answer);
+		Assert.assertTrue(answer.split("piece 2\n", -1).length <= 2, answer);
+	}
+
+	/**
+	 * Guards against a stream that is given up although a third endpoint could continue
+	 * it.
+	 */
+	@Test
+	public void aStreamGoesOnAtAThirdEndpointAfterAnAnswerThatDoesNotContinueIt() throws IOException {
+		try (WorkerStandIn thirdWorker = new WorkerStandIn("i-3")) {
+			this.store.put(Tables.WORKERS, thirdWorker.id(), thirdWorker.entry("model", "norte-a", "ready"));
+			publish(CallerStandIn.configuration(3, "model", "app").replace("\"attempts\":2", "\"attempts\":3"), "model",
+					"ready", "ready");
+			for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker, thirdWorker)) {
+				worker.respondWith((request, out) -> {
+					switch ((int) (receivedCount("r1")
+							+ thirdWorker.received().stream().filter((other) -> isFor(other, "r1")).count())) {
+						case 1 -> breakOff(request, out, event(1, "piece 1") + event(2, "piece 2"));
+						case 2 -> out.write(out.head(request, 200, STREAM) + chunk(event(1, "other 1")) + LAST_CHUNK);
+						default -> out.write(out.head(request, 200, STREAM) + chunk(event(3, "piece 3")) + LAST_CHUNK);
+					}
+				});
+			}
+			String answer = exchange("POST /stream/x", "r1", "{}");
+			Assert.assertTrue(answer.contains("piece 3") && answer.endsWith(LAST_CHUNK), answer);
+			Assert.assertFalse(answer.contains("other"), answer);
+		}
+	}
+
+	private static boolean isFor(WorkerStandIn.ReceivedRequest request, String id) {
+		return request.header("Request-Id").equals(id);
+	}
+
 }
