Break a stream off if its continuation has no event

Cause: the end of any answer to the continuation was taken for the end of the stream. But an endpoint that gives up may delimit its answer all the same (RelayUnfinishedStreamTests), so an answer without events does not prove that the event before it was the last one; an end after at least one event is taken as before.

Change: such an attempt has failed. Another endpoint is asked if one is left, or else the stream is broken off, and the caller may continue it itself. That costs a stream whose endpoint broke off between its last event and its end.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -70,6 +70,8 @@
 
 	private boolean survivedBeginning;
 
+	private boolean eventAdded;
+
 	private boolean ended;
 
 	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId) {
@@ -166,6 +168,7 @@
 				failNotContinued("event " + event.id() + " after event " + this.run.position().lastEventId());
 				return;
 			}
+			this.eventAdded |= !event.isComment() && !this.run.position().isRepetition(event);
 			this.run.writeEvent(this.head, event);
 		}
 		if (this.events.pendingBytes() > MAX_EVENT_BYTES) {
@@ -247,6 +250,11 @@
 		else if (isStream() && isBrokenOff()) {
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
+		else if (this.isContinuation && !this.eventAdded) {
+			// The end of an answer without events does not prove that the last event of
+			// the earlier answer was the last one of the stream.
+			failNotContinued("no event after event " + this.run.position().lastEventId());
+		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
 			completeIfEndpointRuns(true);
 		}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
@@ -125,6 +125,28 @@
 				+ STREAM + "\r\n\r\n" + chunk(event(3, "other")) + LAST_CHUNK)));
 	}
 
+	@DataProvider
+	public static Object[][] emptyStreams() {
+		return new Object[][] { { "Content-Type: text/event-stream\r\nContent-Length: 0", "" }, { STREAM, LAST_CHUNK },
+				{ "Content-Type: text/event-stream\r\nConnection: close", "" },
+				{ STREAM, chunk(": still here\n\n") + LAST_CHUNK },
+				{ STREAM, chunk(event(2, "piece 2")) + LAST_CHUNK } };
+	}
+
+	/**
+	 * Guards against a stream that ends as complete although the second endpoint added no
+	 * event, which does not prove that the last one had been sent.
+	 */
+	@Test(dataProvider = "emptyStreams")
+	public void aContinuationWithoutAnEventDoesNotCompleteTheStream(String headers, String body) {
+		assertBrokenOff(answerAfterTwoEvents((request, out) -> {
+			out.write(out.head(request, 200, headers) + body);
+			if (headers.contains("close")) {
+				out.close();
+			}
+		}));
+	}
+
 	@DataProvider
 	public static Object[] otherRuns() {
 		return new Object[] { event(1, "other 1") + event(2, "other 2") + event(3, "other 3"),
