--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -204,8 +204,8 @@
 					.report(failed.endpoint(), failed.bootId(), fingerprint(), possiblePartCauses());
 			}
 		}
-		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
-				&& (!this.streamStarted || (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
+		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable() && (!this.streamStarted
+				|| (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
 		if (mayRetry && this.attemptCount < this.route.maxAttempts() && this.service.trySpendRetry(this.serviceName)) {
 			acquireGrant();
 			return;
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayContinuedStreamTests.java
@@ -34,8 +34,8 @@
 		return "id: " + id + "\ndata: " + text + "\n\n";
 	}
 
-	private static void breakOff(WorkerStandIn.ReceivedRequest request, WorkerStandIn.ResponseWriter out,
-			String events) throws IOException {
+	private static void breakOff(WorkerStandIn.ReceivedRequest request, WorkerStandIn.ResponseWriter out, String events)
+			throws IOException {
 		out.write(out.head(request, 200, STREAM) + chunk(events + "id: 9\ndata: unfin"));
 		out.close();
 	}
@@ -110,8 +110,8 @@
 	 */
 	@Test(dataProvider = "otherTypes")
 	public void anAnswerOfAnotherTypeAfterAStreamHasBegunBreaksItOff(String type, String body) {
-		String answer = answerAfterTwoEvents((request, out) -> out.write(
-				out.head(request, 200, "Content-Type: " + type + "\r\nContent-Length: " + body.length()) + body));
+		String answer = answerAfterTwoEvents((request, out) -> out
+			.write(out.head(request, 200, "Content-Type: " + type + "\r\nContent-Length: " + body.length()) + body));
 		assertBrokenOff(answer);
 		Assert.assertFalse(answer.contains(body), answer);
 	}
@@ -186,8 +186,8 @@
 	}
 
 	/**
-	 * Guards against continuations that are broken off although they follow: ids may count
-	 * tokens, an endpoint may repeat the last event, and comments are no events.
+	 * Guards against continuations that are broken off although they follow: ids may
+	 * count tokens, an endpoint may repeat the last event, and comments are no events.
 	 */
 	@Test(dataProvider = "continuations")
 	public void eventsThatFollowTheLastOneCompleteTheStream(String events, String followingEvents) {
