--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -57,6 +57,8 @@
 
 	private final Set<EndpointId> excluded = new HashSet<>();
 
+	private final Set<EndpointId> attempted = new HashSet<>();
+
 	private Route route;
 
 	private RoutingTable.Team team;
@@ -83,6 +85,8 @@
 
 	private boolean streamStarted;
 
+	private boolean reading = true;
+
 	private PrefillPlan prefillPlan;
 
 	private long firstEventMillis = NOT_MEASURED;
@@ -145,7 +149,9 @@
 		}
 		this.attemptCount++;
 		this.endpointCount = endpoints.helpers().size() + 1;
-		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount);
+		boolean isFirstAtEndpoint = this.attempted.add(endpoints.answering().endpoint());
+		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount,
+				isFirstAtEndpoint);
 		this.attempt.start();
 	}
 
@@ -347,11 +353,16 @@
 	 * @param isReading true if the caller's connection can be written to
 	 */
 	void setReading(boolean isReading) {
+		this.reading = isReading;
 		if (this.attempt != null) {
 			this.attempt.setReading(isReading);
 		}
 	}
 
+	boolean isReading() {
+		return this.reading;
+	}
+
 	String fingerprint() {
 		int hash = Objects.hash(this.request.method(), this.request.apiKey(), Arrays.hashCode(this.request.body()));
 		return this.request.target() + "#" + Integer.toHexString(hash) + "." + this.request.body().length;
