A test of parts of a refusal before the answer to the next request

Cause: the status line of the next answer became the reason phrase or a header value of the refusal.

Change: tests only: all beginnings and ends of a 503 and a 421 without an id. The ids of the soak have one length, so that no part of an id is another one.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
@@ -1,6 +1,7 @@
 package org.poplarloom.entry.relay;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -117,6 +118,31 @@
 		Assert.assertEquals(receivedCount("next"), 1);
 	}
 
+	/**
+	 * Guards against callers that are told that their request has not run because a part
+	 * of an earlier refusal was read as the beginning or the whole of its answer.
+	 */
+	@Test(dataProvider = "refusalsWithoutId")
+	public void aPartOfARefusalDoesNotRefuseTheNextRequest(String refusal) {
+		configure("app", "ready");
+		List<String> misread = new ArrayList<>();
+		for (int length = 1; length < refusal.length(); length++) {
+			for (String part : List.of(refusal.substring(0, length), refusal.substring(length))) {
+				String id = "r" + length + (refusal.startsWith(part) ? "beginning" : "end");
+				this.firstWorker.respondWith((request, out) -> {
+					out.write(request.header("Request-Id").equals(id) ? part : "");
+					out.answer(request, "ok");
+				});
+				await(() -> exchange("GET /again/probe", "probe", "").startsWith("HTTP/1.1 200"));
+				if (exchange("POST /once/x", id, "swap").matches(PROMISED_NOT_RUN)) {
+					misread.add(id);
+				}
+				Assert.assertEquals(receivedCount(id), 1, id);
+			}
+		}
+		Assert.assertEquals(misread, List.of(), "parts after which a request that ran was refused");
+	}
+
 	/**
 	 * Guards against an endpoint that is not used on although it has refused a request
 	 * with the first response on a connection, which can belong to no other request.
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterSoakTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterSoakTests.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
@@ -131,7 +132,7 @@
 			List<Future<?>> callers = new ArrayList<>();
 			long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STUTTER_MILLIS);
 			for (int i = 0; i < CALLERS; i++) {
-				Caller caller = new Caller("c" + i, new Random(random.nextLong()));
+				Caller caller = new Caller("c" + (10 + i), new Random(random.nextLong()));
 				callers.add(threads.submit(() -> caller.callUntil(endNanos)));
 			}
 			for (Future<?> caller : callers) {
@@ -334,7 +335,9 @@
 
 		void call(int number) {
 			String route = List.of("once", "once", "again", "stream").get(this.random.nextInt(4));
-			String id = route + "-" + this.name + "-" + number;
+			// Of one length, like the ids of callers, so that a part of one is no other
+			// one.
+			String id = String.format(Locale.ROOT, "%s-%s-%05d", route, this.name, number);
 			try {
 				if (this.connection == null || this.random.nextInt(4) == 0) {
 					close();
