Entries of endpoints are checked when they are read

Cause: a field was taken over with its JSON type checked at most. Numbers were cut to 32 bits (slots was 4), zones and addresses were checked where they were used, a host name was looked up on the event loop, an endpoint whose newer entry could not be read stayed in use, but not at an instance that had just started.

Change: WorkerEntryFormat reads each field with a type and a range and reports all bad ones at once; slots are 1 to 65,536, addresses IP addresses with a port from 1 to 65535 (HostPort), nesting at most 64 levels; a field given twice, bytes after the document and control characters are refused. EndpointEntry holds an AvailabilityZone. An entry that cannot be read names no endpoint, also where an earlier one did. Values are quoted up to 100 characters.

Measured: on 56 of the 109 tests of FormatTests.Records and 6 of the 11 of RelayOddEntryTests fail; now none does. Deeply nested documents were refused before too (1,000 levels is the library's default). 218 tests of the packages platform and process pass.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/Findings.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/Findings.java
@@ -39,6 +39,14 @@
 		return this.entries.isEmpty();
 	}
 
+	/**
+	 * Returns the findings as one line of a log.
+	 * @return the findings, separated by semicolons
+	 */
+	public String toLine() {
+		return this.entries.stream().map(Finding::toString).collect(Collectors.joining("; "));
+	}
+
 	/**
 	 * Throws one exception whose message lists every finding, if there is any.
 	 * @throws PoplarloomException with the code of the first finding
--- a/poplarloom-core/src/main/java/org/poplarloom/core/Identifiers.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/Identifiers.java
@@ -18,7 +18,7 @@
 		if (value == null || !VALID.matcher(value).matches()) {
 			throw new PoplarloomException(ErrorCode.INVALID_IDENTIFIER, kind
 					+ " must be 1 to 63 characters of a-z, 0-9, '.', '_' and '-' and begin with a letter or digit, but was '"
-					+ value + "'");
+					+ Quotes.shortened(value) + "'");
 		}
 		return value;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -109,17 +109,21 @@
 	/**
 	 * Removes an endpoint unless it published its entry again after the removal.
 	 * @param id the endpoint
-	 * @param removedMillis when the removal of its entry was read, in milliseconds since
-	 * the epoch
+	 * @param removedMillis when the removal of its entry, or one that cannot be used, was
+	 * read, in milliseconds since the epoch
+	 * @return whether it was known and is removed now
 	 */
-	public void remove(String id, long removedMillis) {
+	public boolean remove(String id, long removedMillis) {
 		ReceivedEntry current = this.endpoints.get(id);
-		if (current != null && current.receivedMillis <= removedMillis && this.endpoints.remove(id, current)) {
+		boolean isRemoved = current != null && current.receivedMillis <= removedMillis
+				&& this.endpoints.remove(id, current);
+		if (isRemoved) {
 			long now = this.clock.nowMillis();
 			this.removedMillis.values().removeIf((removal) -> removal + REMOVAL_MEMORY_MILLIS < now);
 			this.removedMillis.put(id, now);
 			logger.info("endpoint={} event=gone silent_ms={}", id, this.clock.nowMillis() - current.receivedMillis);
 		}
+		return isRemoved;
 	}
 
 	/**
@@ -202,8 +206,8 @@
 		List<ListedInstance> all = new ArrayList<>(this.instances.values());
 		for (ReceivedEntry received : this.endpoints.values()) {
 			EndpointEntry entry = received.entry;
-			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone(), entry.address(),
-					entry.isDraining()));
+			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone().value(),
+					entry.address(), entry.isDraining()));
 		}
 		return Mono.just(all);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,6 +21,7 @@
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.Quotes;
 import org.poplarloom.core.process.TablePosition;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.RoutingTable;
@@ -321,23 +323,37 @@
 
 	private void applyEndpointRecords(List<KeyedTablePort.Entry> records) {
 		List<EndpointEntry> published = new ArrayList<>();
+		boolean isChanged = false;
 		for (KeyedTablePort.Entry record : lastOfEachKey(records)) {
 			if (record.isTombstone()) {
 				removeEndpointAfterGrace(record.key());
 				continue;
 			}
-			try {
-				published.add(WorkerEntryFormat.read(record.key(), record.value()));
-			}
-			catch (PoplarloomException ex) {
-				logger.warn("endpoint={} event=unreadable_entry cause=\"{}\"", record.key(), ex.getMessage());
-			}
+			Optional<EndpointEntry> entry = readEndpointEntry(record);
+			entry.ifPresent(published::add);
+			isChanged |= entry.isEmpty() && this.entries.remove(record.key(), this.node.clock().nowMillis());
 		}
-		if (this.entries.update(published)) {
+		isChanged |= this.entries.update(published);
+		if (isChanged) {
 			this.node.refreshEndpoints();
 		}
 	}
 
+	// An entry that cannot be read names no endpoint to use, also where an earlier one
+	// did: an instance that starts now knows only the newest entry, and all of them must
+	// use the same endpoints.
+	private static Optional<EndpointEntry> readEndpointEntry(KeyedTablePort.Entry record) {
+		try {
+			return Optional.of(WorkerEntryFormat.read(record.key(), record.value()));
+		}
+		catch (PoplarloomException ex) {
+			logger.warn("endpoint={} event=unreadable_entry position={} cause=\"{}\" value=\"{}\"",
+					Quotes.shortened(record.key()), record.position(), ex.getMessage(),
+					Quotes.shortened(new String(record.value(), StandardCharsets.UTF_8)));
+			return Optional.empty();
+		}
+	}
+
 	// An entry that was removed and published again in one read is not removed.
 	private static Collection<KeyedTablePort.Entry> lastOfEachKey(List<KeyedTablePort.Entry> records) {
 		Map<String, KeyedTablePort.Entry> last = new LinkedHashMap<>();
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
@@ -5,6 +5,7 @@
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
+import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.entry.version.ActiveRouting;
 import org.poplarloom.port.EndpointEntry;
@@ -68,7 +69,8 @@
 	}
 
 	private static EndpointEntry entry(String id, boolean isDraining) {
-		return new EndpointEntry(EndpointId.of(id), "model", "10.0.0.1:80", "norte-a", 4, isDraining, 0, 1, 1);
+		return new EndpointEntry(EndpointId.of(id), "model", "10.0.0.1:80", AvailabilityZone.of("norte-a"), 4,
+				isDraining, 0, 1, 1);
 	}
 
 }
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -54,6 +54,10 @@
 		this.store = new StoreStandIn();
 		this.firstWorker = new WorkerStandIn("i-1");
 		this.secondWorker = new WorkerStandIn("i-2");
+		startDaemon();
+	}
+
+	private void startDaemon() {
 		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", ANY_PORT, ANY_PORT, 0,
 				this.store.address(), List.of(), 3_000, 0.2, 20, 0);
 		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
@@ -63,6 +67,15 @@
 		this.callerAddress = this.daemon.callerAddress();
 	}
 
+	/**
+	 * Ends the instance and starts another one, which knows nothing of what the first one
+	 * has read.
+	 */
+	void restartDaemon() {
+		this.daemon.close();
+		startDaemon();
+	}
+
 	@AfterMethod(alwaysRun = true)
 	public void stop() throws IOException {
 		this.daemon.close();
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayOddEntryTests.java
@@ -0,0 +1,99 @@
+package org.poplarloom.entry.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.poplarloom.platform.Tables;
+import org.poplarloom.platform.standin.OddEntries;
+import org.poplarloom.platform.standin.WorkerStandIn;
+
+/**
+ * Tests of an instance that reads odd entries, of another writer, beside sound ones.
+ */
+public class RelayOddEntryTests extends RelayFixture {
+
+	private static final int REQUESTS = 20;
+
+	/** Kinds of odd entries that are read one after the other by one instance. */
+	private static final int KINDS_PER_INSTANCE = 12;
+
+	@DataProvider
+	public static Object[][] oddEntries() {
+		Map<String, byte[]> values = new LinkedHashMap<>(OddEntries.values());
+		List<Object[]> rows = new ArrayList<>();
+		List<String> kinds = new ArrayList<>(values.keySet());
+		for (int i = 0; i < kinds.size(); i += KINDS_PER_INSTANCE) {
+			Map<String, byte[]> group = new LinkedHashMap<>();
+			List<String> names = kinds.subList(i, Math.min(kinds.size(), i + KINDS_PER_INSTANCE));
+			names.forEach((kind) -> group.put("a-" + kinds.indexOf(kind), values.get(kind)));
+			rows.add(new Object[] { names.toString(), group });
+		}
+		Map<String, byte[]> keys = new LinkedHashMap<>();
+		OddEntries.keys().forEach((key) -> keys.put(key, OddEntries.sound().getBytes(StandardCharsets.UTF_8)));
+		rows.add(new Object[] { "keys that are no ids", keys });
+		return rows.toArray(new Object[0][]);
+	}
+
+	/**
+	 * Guards against odd entries that keep an instance from serving its requests from the
+	 * endpoints of the other entries and from following the table, before and after a
+	 * restart.
+	 */
+	@Test(dataProvider = "oddEntries")
+	public void anOddEntryCostsOnlyItself(String kinds, Map<String, byte[]> entries) {
+		configure("app", "ready", "ready");
+		entries.forEach((key, value) -> this.store.put(Tables.WORKERS, key, value));
+		assertFollowed();
+		assertServedAtTheFirstTry();
+		restartDaemon();
+		await(() -> exchange("GET /again/x", "probe", "").startsWith("HTTP/1.1 200"));
+		assertServedAtTheFirstTry();
+		assertFollowed();
+	}
+
+	/**
+	 * Guards against an endpoint that is used although the newest entry under its id
+	 * cannot be read, which an instance that starts now would not use.
+	 */
+	@Test
+	public void anEndpointWhoseEntryBecomesOddIsNotUsedUntilItsNextEntry() {
+		configure("app", "ready", "ready");
+		this.store.put(Tables.WORKERS, this.firstWorker.id(), "worker");
+		await(() -> !isUsed(this.firstWorker));
+		this.store.put(Tables.WORKERS, this.firstWorker.id(), this.firstWorker.entry("app", "norte-a", "ready"));
+		await(() -> isUsed(this.firstWorker));
+	}
+
+	private void assertFollowed() {
+		this.store.put(Tables.WORKERS, this.firstWorker.id(), this.firstWorker.entry("app", "norte-a", "draining"));
+		await(() -> !isUsed(this.firstWorker));
+		this.store.put(Tables.WORKERS, this.firstWorker.id(), this.firstWorker.entry("app", "norte-a", "ready"));
+		await(() -> isUsed(this.firstWorker));
+	}
+
+	// Nothing listens at the addresses of the odd entries, whose keys come first, so an
+	// attempt there fails.
+	private void assertServedAtTheFirstTry() {
+		for (int i = 0; i < REQUESTS; i++) {
+			String answer = exchange("POST /once/x", "r" + i, "{}");
+			Assert.assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+		}
+		Assert.assertFalse(metrics().contains("attempts_failed"), metrics());
+	}
+
+	private boolean isUsed(WorkerStandIn worker) {
+		int before = worker.received().size();
+		for (int i = 0; i < 4; i++) {
+			exchange("GET /again/x", "probe", "");
+		}
+		return worker.received().size() > before;
+	}
+
+}
