The sum of a home's slots does not overflow

What callers saw: nothing yet; a home whose endpoints report slots looked full to the others.

Cause: HomeSummary's slots were summed up as an int.

Change: summed up as a long and bounded.

Measured: ShardHomeTests.manySlotsAreSummedUpWithoutOverflow passes; not run on the code before.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -428,13 +428,14 @@
 	 * @return the summary
 	 */
 	public synchronized HomeSummary summary(long nowMillis) {
-		int slots = 0;
+		long slots = 0;
 		int running = 0;
 		for (EndpointAllocations endpoint : this.allocations.endpoints()) {
 			slots += endpoint.isWarm(nowMillis) ? endpoint.report().slots() : this.rampSettings.floor();
 			running += endpoint.running();
 		}
-		return new HomeSummary(this.allocations.endpoints().size(), slots, running, this.queue.size(), this.isOut);
+		return new HomeSummary(this.allocations.endpoints().size(), (int) Math.min(Integer.MAX_VALUE, slots), running,
+				this.queue.size(), this.isOut);
 	}
 
 	/**
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/ShardHomeTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/ShardHomeTests.java
@@ -99,6 +99,21 @@
 			Assert.assertEquals(granted(next.get(0).decision()).request().requestId(), "b");
 		}
 
+		/**
+		 * Guards against a sum of slots that overflows and makes an idle home look full.
+		 */
+		@Test
+		public void manySlotsAreSummedUpWithoutOverflow() {
+			List<EndpointReport> reports = new ArrayList<>();
+			for (int i = 0; i < 3; i++) {
+				reports.add(new EndpointReport(EndpointId.of("e-" + i), "boot", false, Set.of("model"),
+						Integer.MAX_VALUE, KV_TOKENS, 20_000, 0, WARM_MILLIS, Set.of(), 0));
+			}
+			ShardHome home = ShardHome.of(new AdaptivePlacement(), RAMP, 0);
+			home.observe(reports, Set.of(), 0);
+			Assert.assertEquals(home.summary(0).utilization(), 0.0);
+		}
+
 		@Test
 		public void promptLargerThanTheShardIsRefused() {
 			Assert.assertEquals(refusal(warmHome(2).request(HOLDER, request("r", 1_000_000, 600_000), 0)),
