Entries of instances are checked when they are read

What callers saw: after an entry of an instance without an address, the instance no longer followed the tables and its periodic tasks failed (an endpoint that drained stayed in use for 10 s and more).

Cause: an entry was taken over as read: fields could be missing, the zone or address invalid, the kind that of an endpoint. Where it was used, a NullPointerException or invalid identifier ended what was in progress.

Change: PublishedEntries takes over only an entry whose id is its key, of the kind of instances, with a valid zone and an IP address with a port. Any other names no instance, also where an earlier one did.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -14,7 +14,11 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.HostPort;
+import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.Quotes;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.RoutingTable;
@@ -139,8 +143,8 @@
 	}
 
 	/**
-	 * Replaces or removes the entry of an entry instance. An unreadable entry is logged
-	 * and skipped.
+	 * Replaces or removes the entry of an entry instance. An entry that cannot be used is
+	 * logged and names no instance, also where an earlier one did.
 	 * @param entry the record, whose key is the instance
 	 */
 	public void updateInstance(KeyedTablePort.Entry entry) {
@@ -148,13 +152,26 @@
 			this.instances.remove(entry.key());
 			return;
 		}
+		String content = new String(entry.value(), StandardCharsets.UTF_8);
 		try {
-			this.instances.put(entry.key(),
-					Documents.read(new String(entry.value(), StandardCharsets.UTF_8), ListedInstance.class));
+			this.instances.put(entry.key(), readInstance(entry.key(), content));
 		}
-		catch (PoplarloomException ex) {
-			logger.warn("instance={} event=unreadable_entry cause=\"{}\"", entry.key(), ex.getMessage());
+		catch (RuntimeException | StackOverflowError ex) {
+			this.instances.remove(entry.key());
+			logger.warn("instance={} event=unreadable_entry cause=\"{}\" value=\"{}\"", Quotes.shortened(entry.key()),
+					ex.getMessage(), Quotes.shortened(content));
+		}
+	}
+
+	private static ListedInstance readInstance(String key, String content) {
+		ListedInstance instance = Documents.read(content, ListedInstance.class);
+		if (!InstanceId.of(key).value().equals(instance.id()) || !ListedInstance.ENTRY.equals(instance.kind())) {
+			throw new PoplarloomException(ErrorCode.INVALID_DOCUMENT, "must be the entry of the instance '" + key
+					+ "', but was of kind '" + instance.kind() + "' with the id '" + instance.id() + "'");
 		}
+		HostPort.parse(instance.address());
+		AvailabilityZone.of(instance.zone());
+		return instance;
 	}
 
 	/**
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayOddEntryTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayOddEntryTests.java
@@ -9,10 +9,17 @@
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
+import org.poplarloom.core.AvailabilityZone;
+import org.poplarloom.core.process.TablePosition;
+import org.poplarloom.entry.process.Clock;
+import org.poplarloom.entry.process.PublishedEntries;
+import org.poplarloom.entry.version.ActiveRouting;
 import org.poplarloom.platform.Tables;
 import org.poplarloom.platform.standin.OddEntries;
 import org.poplarloom.platform.standin.WorkerStandIn;
+import org.poplarloom.port.KeyedTablePort;
 
 /**
  * Tests of an instance that reads odd entries, of another writer, beside sound ones.
@@ -58,6 +65,68 @@
 		assertFollowed();
 	}
 
+	/**
+	 * Returns entries of instances, by their keys, that this instance must not use.
+	 */
+	private static Map<String, String> oddInstances() {
+		Map<String, String> odd = new LinkedHashMap<>();
+		odd.put("edge-2", "{}");
+		odd.put("edge-3", "null");
+		odd.put("edge-4", "[".repeat(100_000));
+		odd.put("edge-5", instance("edge-5", "entry", "Not A Zone", "127.0.0.1:9"));
+		odd.put("edge-6", instance("edge-6", "entry", "norte-b", "nowhere"));
+		odd.put("edge-7", instance("edge-7", "entry", "norte-b", "127.0.0.1:99999"));
+		odd.put("edge-8", instance("edge-8", "engine", "norte-a", "127.0.0.1:9"));
+		odd.put("edge-9", instance("i-1", "entry", "norte-b", "127.0.0.1:9"));
+		odd.put("Edge 10", instance("Edge 10", "entry", "norte-b", "127.0.0.1:9"));
+		odd.put("edge-11", "{\"id\":\"edge-11\",\"kind\":\"entry\",\"zone\":\"norte-b\"}");
+		odd.put("edge-12", "{\"id\":\"edge-12\",\"address\":\"127.0.0.1:9\",\"zone\":\"norte-b\"}");
+		odd.put("edge-13", "{\"kind\":\"entry\",\"address\":\"127.0.0.1:9\",\"zone\":\"norte-b\"}");
+		return odd;
+	}
+
+	private static String instance(String id, String kind, String zone, String address) {
+		return "{\"id\":\"" + id + "\",\"kind\":\"" + kind + "\",\"zone\":\"" + zone + "\",\"address\":\"" + address
+				+ "\",\"isLeaving\":false}";
+	}
+
+	@DataProvider
+	public static Object[][] oddInstanceEntries() {
+		return oddInstances().entrySet()
+			.stream()
+			.map((entry) -> new Object[] { entry.getKey(), entry.getValue() })
+			.toArray(Object[][]::new);
+	}
+
+	/**
+	 * Guards against an odd entry among those of the instances that ends what an instance
+	 * does periodically, or is used as an endpoint.
+	 */
+	@Test(dataProvider = "oddInstanceEntries")
+	public void anOddInstanceEntryIsNotUsed(String key, String value) {
+		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), Clock.steady());
+		entries.updateInstance(
+				new KeyedTablePort.Entry(key, value.getBytes(StandardCharsets.UTF_8), TablePosition.of(1, 1)));
+		Assert.assertEquals(entries.peerAddresses("127.0.0.1:1"), List.of());
+		Assert.assertEquals(Mono.from(entries.list(AvailabilityZone.of("norte-a"))).block(), List.of());
+	}
+
+	/** Guards against the same in the whole instance, while the store is lost too. */
+	@Test
+	public void oddInstanceEntriesCostOnlyThemselves() {
+		oddInstances().forEach((key, value) -> this.store.put(Tables.STATUS, key, value));
+		configure("app", "ready", "ready");
+		restartDaemon();
+		await(() -> exchange("GET /again/x", "probe", "").startsWith("HTTP/1.1 200"));
+		assertServedAtTheFirstTry();
+		assertFollowed();
+		this.store.setDown(true);
+		pause(1_000);
+		assertServedAtTheFirstTry();
+		this.store.setDown(false);
+		assertFollowed();
+	}
+
 	/**
 	 * Guards against an endpoint that is used although the newest entry under its id
 	 * cannot be read, which an instance that starts now would not use.
