A record on which its reader fails ends neither the follower nor a periodic task

Cause: TableFollower caught RuntimeException only, so after a StackOverflowError or another error in the listener no read was scheduled any more. Records of peers and deferred ones were applied without any catch, and a query of a peer that threw ended the queries for the rest of an outage. Node ended a periodic task after an Error.

Change: the listener is guarded wherever it is called, reads and queries are guarded, periodic tasks go on after errors, and records are read one by one with a catch that includes a stack overflow.

Measured: TableFollowerTests.readsOnWhateverItsListenerThrows failed for both errors and queriesPeersOnWhateverFailsInBetween for all three kinds before; all pass now.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointRecordOrder.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointRecordOrder.java
@@ -5,7 +5,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.platform.WorkerEntryFormat;
 import org.poplarloom.port.EndpointEntry;
 import org.poplarloom.port.KeyedTablePort.Entry;
@@ -45,7 +44,7 @@
 		try {
 			return Optional.of(WorkerEntryFormat.read(record.key(), record.value()));
 		}
-		catch (PoplarloomException | IllegalArgumentException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			logger.warn("endpoint={} event=unreadable_entry position={} cause=\"{}\"", record.key(), record.position(),
 					ex.getMessage());
 			return Optional.empty();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -182,7 +182,7 @@
 		try {
 			task.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logger.error("periodic task failed", ex);
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/OperatorRecordOrder.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/OperatorRecordOrder.java
@@ -5,7 +5,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.platform.ConfigurationFormat;
 import org.poplarloom.port.KeyedTablePort.Entry;
 
@@ -34,7 +33,7 @@
 		try {
 			return ConfigurationFormat.read(record.value()).version();
 		}
-		catch (PoplarloomException | IllegalArgumentException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			logger.warn("event=unreadable_operator_record key={} position={} cause=\"{}\"", record.key(),
 					record.position(), ex.getMessage());
 			return 0;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -286,9 +286,9 @@
 			try {
 				applyOperatorRecord(record);
 			}
-			catch (PoplarloomException | IllegalArgumentException ex) {
-				logger.error("event=unreadable_operator_record key={} position={} cause=\"{}\"", record.key(),
-						record.position(), ex.getMessage());
+			catch (RuntimeException | StackOverflowError ex) {
+				logger.error("event=unreadable_operator_record key={} position={} cause=\"{}\"",
+						Quotes.shortened(record.key()), record.position(), ex.toString());
 			}
 		}
 	}
@@ -346,7 +346,7 @@
 		try {
 			return Optional.of(WorkerEntryFormat.read(record.key(), record.value()));
 		}
-		catch (PoplarloomException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			logger.warn("endpoint={} event=unreadable_entry position={} cause=\"{}\" value=\"{}\"",
 					Quotes.shortened(record.key()), record.position(), ex.getMessage(),
 					Quotes.shortened(new String(record.value(), StandardCharsets.UTF_8)));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -159,9 +159,7 @@
 		}
 		this.readStartMillis = this.clock.nowMillis();
 		this.readInProgress = true;
-		CompletableFuture<Page> page = from.equals(TablePosition.NONE) ? this.port.readNewest(this.table)
-				: this.port.read(this.table, from, waitMillis());
-		page.whenCompleteAsync((read, failure) -> {
+		startRead(from).whenCompleteAsync((read, failure) -> {
 			if (number != this.readNumber) {
 				return;
 			}
@@ -169,13 +167,23 @@
 			try {
 				handleRead(from, read, failure);
 			}
-			catch (RuntimeException ex) {
-				logger.error("table={} event=listener_failed", this.table, ex);
+			catch (RuntimeException | Error ex) {
+				logger.error("table={} event=read_failed", this.table, ex);
 				retryWhenDue();
 			}
 		}, this.scheduler);
 	}
 
+	private CompletableFuture<Page> startRead(TablePosition from) {
+		try {
+			return from.equals(TablePosition.NONE) ? this.port.readNewest(this.table)
+					: this.port.read(this.table, from, waitMillis());
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	// During an outage, a read that waits would notice only after the wait that it was
 	// lost too.
 	private long waitMillis() {
@@ -216,8 +224,8 @@
 					applySnapshot(snapshot);
 				}
 			}
-			catch (RuntimeException ex) {
-				logger.error("table={} event=listener_failed", this.table, ex);
+			catch (RuntimeException | Error ex) {
+				logger.error("table={} event=read_failed", this.table, ex);
 			}
 			retryWhenDue();
 		}, this.scheduler);
@@ -250,7 +258,7 @@
 
 	private void apply(List<Entry> newRecords, TablePosition before) {
 		if (!newRecords.isEmpty()) {
-			this.listener.accept(newRecords);
+			notifyListener(newRecords);
 		}
 		scheduleDeferred();
 		boolean isFirstRead = before.equals(TablePosition.NONE);
@@ -281,7 +289,18 @@
 		scheduleDeferred();
 		if (!due.isEmpty()) {
 			logger.info("table={} event=not_written_again keys={}", this.table, due.stream().map(Entry::key).toList());
-			this.listener.accept(due);
+			notifyListener(due);
+		}
+	}
+
+	// The records are in the copy already, and whatever fails on them, an error such as a
+	// stack overflow too, must end neither the reads nor the scheduled tasks.
+	private void notifyListener(List<Entry> entries) {
+		try {
+			this.listener.accept(entries);
+		}
+		catch (RuntimeException | Error ex) {
+			logger.error("table={} event=listener_failed records={}", this.table, entries.size(), ex);
 		}
 	}
 
@@ -319,7 +338,8 @@
 			return;
 		}
 		boolean asksInformant = fetches % 2 == 0;
-		fetch(asksInformant ? this.peers.query(this.informant, fetchMessage()) : this.peers.queryAny(fetchMessage()));
+		fetch(() -> asksInformant ? this.peers.query(this.informant, fetchMessage())
+				: this.peers.queryAny(fetchMessage()));
 		if (fetches == 0 && (this.readInProgress || position.isInOtherEraThan(next))) {
 			readNext();
 		}
@@ -341,7 +361,7 @@
 			this.pendingQuery.cancel(false);
 		}
 		if (this.unavailable && !this.scheduler.isShutdown()) {
-			fetch(this.peers.queryAny(fetchMessage()));
+			fetch(() -> this.peers.queryAny(fetchMessage()));
 			this.pendingQuery = this.scheduler.schedule(this::queryPeers, PEER_QUERY_PERIOD_MILLIS,
 					TimeUnit.MILLISECONDS);
 		}
@@ -359,7 +379,15 @@
 		return new Message.TableFetch(this.table, this.copy.next());
 	}
 
-	private void fetch(CompletableFuture<Message> reply) {
+	private void fetch(Supplier<CompletableFuture<Message>> query) {
+		CompletableFuture<Message> reply;
+		try {
+			reply = query.get();
+		}
+		catch (RuntimeException ex) {
+			logger.warn("table={} event=peer_query_failed cause=\"{}\"", this.table, ex.toString());
+			return;
+		}
 		reply.whenCompleteAsync((message, failure) -> {
 			TablePosition before = this.copy.next();
 			if (message instanceof Message.TableContent content && content.next().isAfter(before)) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -15,6 +15,7 @@
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.poplarloom.core.ErrorCode;
@@ -55,6 +56,10 @@
 
 	private volatile boolean isListenerFailing;
 
+	private volatile Throwable listenerFailure;
+
+	private volatile RuntimeException peerFailure;
+
 	private TableFollower follower;
 
 	@BeforeMethod
@@ -65,6 +70,8 @@
 		this.notices.clear();
 		this.batches.clear();
 		this.isListenerFailing = false;
+		this.listenerFailure = null;
+		this.peerFailure = null;
 		this.peerReply = new Message.TableContent(TABLE, TablePosition.NONE, List.of());
 		this.follower = new TableFollower(TABLE, new TableCopy((restored, known) -> true, GRACE), this.table,
 				() -> TIMING, this.scheduler, new SinglePeer(), this::receive, Clock.steady(), new Random(1));
@@ -75,6 +82,14 @@
 	}
 
 	private void receive(List<KeyedTablePort.Entry> entries) {
+		Throwable failure = this.listenerFailure;
+		this.listenerFailure = null;
+		if (failure instanceof Error error) {
+			throw error;
+		}
+		if (failure instanceof RuntimeException exception) {
+			throw exception;
+		}
 		if (this.isListenerFailing) {
 			this.isListenerFailing = false;
 			throw new IllegalStateException("the listener fails");
@@ -128,6 +143,48 @@
 		Assert.assertEquals(this.received.get("b"), "1");
 	}
 
+	@DataProvider
+	public static Object[][] failures() {
+		return new Object[][] { { new StackOverflowError() }, { new AssertionError("listener") },
+				{ new IllegalStateException("listener") } };
+	}
+
+	/**
+	 * Guards against a follower that ends without notice because a record is more than
+	 * its listener can bear.
+	 */
+	@Test(dataProvider = "failures")
+	public void readsOnWhateverItsListenerThrows(Throwable failure) {
+		this.table.put("a", "1");
+		this.listenerFailure = failure;
+		this.follower.start();
+		await(() -> this.listenerFailure == null);
+		this.table.put("b", "2");
+		await(() -> "2".equals(this.received.get("b")));
+		this.listenerFailure = failure;
+		this.table.put("c", "3");
+		await(() -> this.listenerFailure == null);
+		this.table.put("d", "4");
+		await(() -> "4".equals(this.received.get("d")));
+	}
+
+	/**
+	 * Guards against a follower that queries its peers no more after one has sent records
+	 * that its listener fails on, or whose address is none.
+	 */
+	@Test(dataProvider = "failures")
+	public void queriesPeersOnWhateverFailsInBetween(Throwable failure) {
+		this.follower.start();
+		await(() -> this.follower.next().equals(at(0)));
+		this.peerReply = new Message.TableContent(TABLE, at(3), List.of(new Message.TableRecord("a", "3", at(2))));
+		this.listenerFailure = failure;
+		this.peerFailure = new IllegalArgumentException("no address");
+		this.table.isUnavailable = true;
+		await(() -> this.listenerFailure == null);
+		this.peerReply = new Message.TableContent(TABLE, at(5), List.of(new Message.TableRecord("b", "5", at(4))));
+		await(() -> "5".equals(this.received.get("b")));
+	}
+
 	/**
 	 * Guards against a follower that reads nothing more after its listener has failed on
 	 * a snapshot.
@@ -198,6 +255,11 @@
 
 		@Override
 		public CompletableFuture<Message> queryAny(Message query) {
+			RuntimeException failure = TableFollowerTests.this.peerFailure;
+			TableFollowerTests.this.peerFailure = null;
+			if (failure != null) {
+				throw failure;
+			}
 			return CompletableFuture.completedFuture(TableFollowerTests.this.peerReply);
 		}
 
