--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -84,10 +84,18 @@
 
 	private Exchange open(String address, FullHttpRequest request, ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
-		int colon = address.lastIndexOf(':');
-		InetSocketAddress endpointAddress = new InetSocketAddress(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)));
 		Exchange exchange = connection.startWhenConnected(request, listener);
+		InetSocketAddress endpointAddress;
+		try {
+			int colon = address.lastIndexOf(':');
+			endpointAddress = new InetSocketAddress(address.substring(0, colon),
+					Integer.parseInt(address.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
+			// The listener expects events only after this method has returned.
+			this.loop.execute(() -> connection.handleConnectFailure(ex));
+			return exchange;
+		}
 		this.openedConnections++;
 		new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -122,9 +122,15 @@
 
 	private CompletableFuture<PeerConnection> open(String address) {
 		PeerConnection connection = newConnection(false);
-		int colon = address.lastIndexOf(':');
-		InetSocketAddress peerAddress = new InetSocketAddress(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)));
+		InetSocketAddress peerAddress;
+		try {
+			int colon = address.lastIndexOf(':');
+			peerAddress = new InetSocketAddress(address.substring(0, colon),
+					Integer.parseInt(address.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 		new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/process/PeerNetworkTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/process/PeerNetworkTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -82,4 +83,17 @@
 		}
 	}
 
+	/** Guards against a periodic task that ends early because one peer has no address. */
+	@Test
+	public void anAddressThatIsNoneFailsOnlyTheRequest() {
+		try (PeerNetwork client = network("client")) {
+			for (String address : List.of("nowhere", "", ":1", "127.0.0.1:99999", "127.0.0.1:x")) {
+				client.send(address, new Message.Acknowledgement(true));
+				Assert.assertThrows(ExecutionException.class,
+						() -> client.request(address, new Message.Acknowledgement(true), TIMEOUT_MILLIS)
+							.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+			}
+		}
+	}
+
 }
