--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -187,7 +187,7 @@
 		try {
 			task.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logger.error("periodic task failed", ex);
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -15,7 +15,11 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.HostPort;
+import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.Quotes;
 import org.poplarloom.core.process.EndpointNotices;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.version.Documents;
@@ -114,17 +118,21 @@
 	/**
 	 * Removes an endpoint unless it published its entry again after the removal.
 	 * @param id the endpoint
-	 * @param removedMillis when the removal of its entry was read, in milliseconds since
-	 * the epoch
+	 * @param removedMillis when the removal of its entry, or one that cannot be used, was
+	 * read, in milliseconds since the epoch
+	 * @return whether it was known and is removed now
 	 */
-	public void remove(String id, long removedMillis) {
+	public boolean remove(String id, long removedMillis) {
 		ReceivedEntry current = this.endpoints.get(id);
-		if (current != null && current.receivedMillis <= removedMillis && this.endpoints.remove(id, current)) {
+		boolean isRemoved = current != null && current.receivedMillis <= removedMillis
+				&& this.endpoints.remove(id, current);
+		if (isRemoved) {
 			long now = this.clock.nowMillis();
 			this.removedMillis.values().removeIf((removal) -> removal + REMOVAL_MEMORY_MILLIS < now);
 			this.removedMillis.put(id, now);
 			logger.info("endpoint={} event=gone silent_ms={}", id, this.clock.nowMillis() - current.receivedMillis);
 		}
+		return isRemoved;
 	}
 
 	/**
@@ -140,8 +148,8 @@
 	}
 
 	/**
-	 * Replaces or removes the entry of an entry instance. An unreadable entry is logged
-	 * and skipped.
+	 * Replaces or removes the entry of an entry instance. An entry that cannot be used is
+	 * logged and names no instance, also where an earlier one did.
 	 * @param entry the record, whose key is the instance
 	 */
 	public void updateInstance(KeyedTablePort.Entry entry) {
@@ -149,13 +157,26 @@
 			this.instances.remove(entry.key());
 			return;
 		}
+		String content = new String(entry.value(), StandardCharsets.UTF_8);
 		try {
-			this.instances.put(entry.key(),
-					Documents.read(new String(entry.value(), StandardCharsets.UTF_8), ListedInstance.class));
+			this.instances.put(entry.key(), readInstance(entry.key(), content));
 		}
-		catch (PoplarloomException ex) {
-			logger.warn("instance={} event=unreadable_entry cause=\"{}\"", entry.key(), ex.getMessage());
+		catch (RuntimeException | StackOverflowError ex) {
+			this.instances.remove(entry.key());
+			logger.warn("instance={} event=unreadable_entry cause=\"{}\" value=\"{}\"", Quotes.shortened(entry.key()),
+					ex.getMessage(), Quotes.shortened(content));
+		}
+	}
+
+	private static ListedInstance readInstance(String key, String content) {
+		ListedInstance instance = Documents.read(content, ListedInstance.class);
+		if (!InstanceId.of(key).value().equals(instance.id()) || !ListedInstance.ENTRY.equals(instance.kind())) {
+			throw new PoplarloomException(ErrorCode.INVALID_DOCUMENT, "must be the entry of the instance '" + key
+					+ "', but was of kind '" + instance.kind() + "' with the id '" + instance.id() + "'");
 		}
+		HostPort.parse(instance.address());
+		AvailabilityZone.of(instance.zone());
+		return instance;
 	}
 
 	/**
@@ -207,8 +228,8 @@
 		List<ListedInstance> all = new ArrayList<>(this.instances.values());
 		for (ReceivedEntry received : this.endpoints.values()) {
 			EndpointEntry entry = received.entry;
-			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone(), entry.address(),
-					isDraining(entry)));
+			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone().value(),
+					entry.address(), isDraining(entry)));
 		}
 		return Mono.just(all);
 	}
