Limit the rate of requests to cold endpoints, over all homes

Cause: coldPerS was read and not used; a cold endpoint was limited in the number of requests that it runs only, and short prompts are packed on the endpoint that runs most. A known endpoint that became cold again was not noticed.

Change: a home grants a cold endpoint at the rate of its service, in bursts of two, each request to the one with most of its rate left (ColdRequestLimit). A grant there names its latest start, 0.25 s later; the holder gives it back if it is later, also where the connection opens too late. Grants while the endpoint was warm count for 1.25 s. A home that may not be the only one uses a fifth of the rate: after it took over, stood still, or lost sight of a peer that had not drained. Where all endpoints are cold, a request that the rate cannot serve in time is refused with the time that it needs. Without a rate the ramp alone holds, as before.

So the rule holds by construction for one home and for two at once; three homes, or a cut inside a zone of more than 20 s, are not covered.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -17,8 +17,9 @@
  * is prefilled in parallel by as few endpoints as bring its first token in time. An
  * endpoint whose answers would pause for too long gets a long prompt only if the prompt
  * has missed its target and has waited for other endpoints for some time. Calls of plain
- * services go to the endpoint with the fewest running requests. This class has no state
- * and is thread-safe.
+ * services go to the endpoint with the fewest running requests. Cold endpoints, which
+ * tolerate a low rate only, are not packed: the next request goes to the one with most of
+ * its rate left. This class has no state and is thread-safe.
  */
 public final class CostPlacement implements PlacementPolicy {
 
@@ -77,7 +78,7 @@
 			return List.of();
 		}
 		if (request.promptTokens() == 0) {
-			return onOneEndpoint(request, fewestRunning(candidates));
+			return onOneEndpoint(request, fewestRunning(candidates, nowMillis));
 		}
 		return isLongOnKnownEngines(request, candidates)
 				? placeLong(request, candidates, budgetMillis(request, nowMillis), nowMillis)
@@ -126,8 +127,16 @@
 		return (request.latencyTarget().firstTokenTargetMillis() - nowMillis) * TARGET_FRACTION;
 	}
 
-	private static EndpointAllocations fewestRunning(List<EndpointAllocations> candidates) {
-		return candidates.stream().min(Comparator.comparingInt(EndpointAllocations::running)).orElseThrow();
+	private static EndpointAllocations fewestRunning(List<EndpointAllocations> candidates, long nowMillis) {
+		return candidates.stream()
+			.min(Comparator.comparingInt(EndpointAllocations::running).thenComparing(mostRateLeft(nowMillis)))
+			.orElseThrow();
+	}
+
+	// Endpoints that are not cold come first, all alike.
+	private static Comparator<EndpointAllocations> mostRateLeft(long nowMillis) {
+		return Comparator.comparingDouble((EndpointAllocations endpoint) -> -endpoint.coldLimit().available(nowMillis))
+			.thenComparingLong((endpoint) -> endpoint.coldLimit().lastColdGrantMillis(nowMillis));
 	}
 
 	private static List<Share> onOneEndpoint(GrantRequest request, EndpointAllocations endpoint) {
@@ -142,26 +151,32 @@
 		if (suitable.isEmpty()) {
 			return List.of();
 		}
-		EndpointAllocations packed = null;
-		for (EndpointAllocations endpoint : suitable) {
-			boolean hasRoom = endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots();
-			boolean startsInTime = endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS;
-			if (hasRoom && startsInTime && (packed == null || endpoint.running() > packed.running())) {
-				packed = endpoint;
-			}
-		}
-		if (packed != null) {
-			return onOneEndpoint(request, packed);
+		List<EndpointAllocations> withRoom = suitable.stream()
+			.filter((endpoint) -> endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots()
+					&& endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS)
+			.toList();
+		if (!withRoom.isEmpty()) {
+			return onOneEndpoint(request, packed(withRoom, nowMillis));
 		}
 		EndpointAllocations best = leastDelayed(suitable, nowMillis);
 		double delayMillis = best.backlogMillis(nowMillis) + best.prefillMillis(request.promptTokens());
 		return (delayMillis <= budgetMillis(request, nowMillis)) ? onOneEndpoint(request, best) : List.of();
 	}
 
+	private static EndpointAllocations packed(List<EndpointAllocations> candidates, long nowMillis) {
+		return candidates.stream()
+			.filter((endpoint) -> !endpoint.coldLimit().isCold(nowMillis))
+			.max(Comparator.comparingInt(EndpointAllocations::running)
+				.thenComparing(Comparator.comparing(EndpointAllocations::id).reversed()))
+			.orElseGet(() -> candidates.stream().min(mostRateLeft(nowMillis)).orElseThrow());
+	}
+
 	private static EndpointAllocations leastDelayed(List<EndpointAllocations> candidates, long nowMillis) {
 		return candidates.stream()
-			.min(Comparator.comparingDouble(
-					(EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running()))
+			.min(Comparator
+				.comparingDouble(
+						(EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running())
+				.thenComparing(mostRateLeft(nowMillis)))
 			.orElseThrow();
 	}
 
@@ -230,7 +245,8 @@
 			}
 		}
 		chosen.sort(Comparator.comparingInt(EndpointAllocations::running)
-			.thenComparingDouble((endpoint) -> endpoint.backlogMillis(nowMillis)));
+			.thenComparingDouble((endpoint) -> endpoint.backlogMillis(nowMillis))
+			.thenComparing(mostRateLeft(nowMillis)));
 		return chosen;
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
@@ -15,8 +15,9 @@
  * What a home has granted on one endpoint, with the load that follows from it.
  * <p>
  * Reserved memory is the sum of the allocated shares, and a request is admitted only
- * while the endpoint runs fewer than its slow-start ramp allows. This class is not
- * thread-safe; its home's lock guards it.
+ * while the endpoint runs fewer than its slow-start ramp allows and, if it is cold, while
+ * the rate that it tolerates is not used up. This class is not thread-safe; its home's
+ * lock guards it.
  */
 public final class EndpointAllocations {
 
@@ -45,6 +46,8 @@
 	/** Extra wait of a long prompt that is accepted to avoid delaying one answer. */
 	private static final double DELAYED_ANSWER_PENALTY_MILLIS = 200;
 
+	private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
 	private final Map<String, Allocation> allocations = new HashMap<>();
 
 	private final PrefillBacklog prefillBacklog = new PrefillBacklog();
@@ -55,6 +58,8 @@
 
 	private final ColdStartRamp ramp;
 
+	private final ColdRequestLimit coldLimit;
+
 	private EndpointReport report;
 
 	private long reservedKvTokens;
@@ -65,15 +70,16 @@
 
 	private boolean hasIsolatedRequest;
 
-	private long unreachableSinceMillis = Long.MIN_VALUE / 2;
+	private long unreachableSinceMillis = NEVER_MILLIS;
 
-	private long pollStartedMillis = Long.MIN_VALUE / 2;
+	private long pollStartedMillis = NEVER_MILLIS;
 
 	private int slowFirstTokens;
 
-	EndpointAllocations(EndpointReport report, ColdStartRamp ramp) {
+	EndpointAllocations(EndpointReport report, ColdStartRamp ramp, ColdRequestLimit coldLimit) {
 		this.report = report;
 		this.ramp = ramp;
+		this.coldLimit = coldLimit;
 	}
 
 	/**
@@ -210,11 +216,13 @@
 	 * checked.
 	 * @param request the request
 	 * @param nowMillis the time in milliseconds
-	 * @return true if the endpoint is eligible and reachable and its ramp has room; a
-	 * request that must run isolated needs an idle endpoint
+	 * @return true if the endpoint is eligible and reachable, its ramp has room and,
+	 * while it is cold, its rate is not used up; a request that must run isolated needs
+	 * an idle endpoint
 	 */
 	public boolean admits(GrantRequest request, long nowMillis) {
-		if (!isEligible(request) || isUnreachable(nowMillis) || this.hasIsolatedRequest) {
+		if (!isEligible(request) || isUnreachable(nowMillis) || this.hasIsolatedRequest
+				|| !this.coldLimit.admits(nowMillis)) {
 			return false;
 		}
 		if (request.isIsolated()) {
@@ -237,10 +245,18 @@
 	/**
 	 * Returns whether the endpoint has completed its slow start.
 	 * @param nowMillis the time in milliseconds
-	 * @return true if it may run as many requests as it has slots
+	 * @return true if it may run as many requests as it has slots, at any rate
 	 */
 	public boolean isWarm(long nowMillis) {
-		return this.ramp.isWarm(this.report.slots(), nowMillis);
+		return this.ramp.isWarm(this.report.slots(), nowMillis) && !this.coldLimit.isCold(nowMillis);
+	}
+
+	/**
+	 * Returns the limit on the rate of requests while the endpoint is cold.
+	 * @return the limit, never null
+	 */
+	ColdRequestLimit coldLimit() {
+		return this.coldLimit;
 	}
 
 	void allocate(Grant grant, long kvTokens, boolean isPrefilling, long nowMillis) {
@@ -338,6 +354,7 @@
 	List<String> observe(EndpointReport next, long nowMillis) {
 		boolean hasRestarted = !next.bootId().equals(this.report.bootId());
 		this.report = next;
+		this.coldLimit.setPeriod(next.coldPeriod(), nowMillis);
 		updateOrphans(nowMillis);
 		return hasRestarted ? resetAfterRestart(nowMillis) : List.of();
 	}
@@ -400,6 +417,10 @@
 		return isDue;
 	}
 
+	void pollSoon() {
+		this.pollStartedMillis = NEVER_MILLIS;
+	}
+
 	void markUnreachable(long nowMillis) {
 		this.unreachableSinceMillis = nowMillis;
 	}
@@ -413,8 +434,8 @@
 	String describe(long nowMillis) {
 		return id() + ":" + running() + "/" + this.ramp.limit(this.report.slots(), nowMillis) + ",free="
 				+ freeKvTokens() + ",backlog=" + (long) backlogMillis(nowMillis)
-				+ (isUnreachable(nowMillis) ? ",doubted" : "") + (hasLongPrefill() ? ",long" : "")
-				+ ((this.isOut || this.report.isDraining()) ? ",leaving" : "");
+				+ (isUnreachable(nowMillis) ? ",doubted" : "") + (this.coldLimit.isCold(nowMillis) ? ",cold" : "")
+				+ (hasLongPrefill() ? ",long" : "") + ((this.isOut || this.report.isDraining()) ? ",leaving" : "");
 	}
 
 	// The timeout is for an endpoint that reports only changes: without a new report it
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -158,6 +158,22 @@
 		this.shards.values().removeIf((entry) -> entry.receivedMillis() + silentMillis < nowMillis);
 	}
 
+	/**
+	 * Returns whether a member has fallen silent without draining first. It has ended, or
+	 * it runs and cannot be heard.
+	 * @param maxSilentMillis the silence after which a member is taken for ended, in
+	 * milliseconds
+	 * @param nowMillis the local time in milliseconds
+	 * @return true if there is a member that is not live and has been silent for at most
+	 * that time
+	 */
+	public synchronized boolean hasSilentMember(long maxSilentMillis, long nowMillis) {
+		return this.members.values()
+			.stream()
+			.anyMatch((entry) -> !entry.value().isDraining() && !isRecent(entry, entry.value().zone(), nowMillis)
+					&& entry.receivedMillis() + maxSilentMillis >= nowMillis);
+	}
+
 	/**
 	 * Returns the live members of a zone that are not draining. The local instance is one
 	 * of them if it is in the zone and not draining.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardAllocations.java
@@ -32,6 +32,8 @@
 
 	private List<EndpointAllocations> endpoints = List.of();
 
+	private long sharedUntilMillis;
+
 	ShardAllocations(ColdStartRamp.Settings rampSettings) {
 		this.rampSettings = rampSettings;
 	}
@@ -81,6 +83,32 @@
 		}
 	}
 
+	/**
+	 * Counts a new grant for the rates of its endpoints.
+	 * @param shares the shares of the grant
+	 * @param nowMillis the time in milliseconds
+	 * @return true if one of the endpoints is cold
+	 */
+	boolean recordGrant(List<Share> shares, long nowMillis) {
+		boolean isAnyCold = false;
+		for (Share share : shares) {
+			ColdRequestLimit limit = this.byId.get(share.endpoint()).coldLimit();
+			limit.recordGrant(nowMillis);
+			isAnyCold |= limit.isCold(nowMillis);
+		}
+		return isAnyCold;
+	}
+
+	/**
+	 * Makes this home use only a share of the rates of cold endpoints.
+	 * @param untilMillis the time until which there may be another home, in milliseconds
+	 * @param nowMillis the time in milliseconds
+	 */
+	void shareColdRates(long untilMillis, long nowMillis) {
+		this.sharedUntilMillis = Math.max(this.sharedUntilMillis, untilMillis);
+		this.endpoints.forEach((endpoint) -> endpoint.coldLimit().shareUntil(untilMillis, nowMillis));
+	}
+
 	/**
 	 * Releases a grant on all its endpoints.
 	 * @param key the identity of the grant
@@ -147,7 +175,8 @@
 		}
 		long startedMillis = nowMillis - report.uptimeMillis();
 		EndpointAllocations added = new EndpointAllocations(report,
-				ColdStartRamp.startingAt(this.rampSettings, startedMillis));
+				ColdStartRamp.startingAt(this.rampSettings, startedMillis),
+				new ColdRequestLimit(report.coldPeriod(), this.sharedUntilMillis, nowMillis));
 		this.byId.put(report.endpoint(), added);
 		this.grants.values().forEach((entry) -> allocateOn(added, entry.grant(), nowMillis));
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -21,7 +21,9 @@
  * <p>
  * KV cache memory granted on an endpoint never exceeds what it reported, its running
  * requests never exceed its slow-start ramp, and a request that needs several endpoints
- * gets all of them or none. Until the settle time ends, holders may announce grants of
+ * gets all of them or none. The rate of grants on a cold endpoint stays below the one
+ * that it tolerates, also together with a home that was replaced or takes over; see
+ * {@link ColdRequestLimit}. Until the settle time ends, holders may announce grants of
  * the previous home; meanwhile only a few short requests are granted. An operation that
  * makes room for queued requests returns the decisions on them. This class is
  * thread-safe; one lock guards all its tables and no other lock is taken while it is
@@ -41,6 +43,19 @@
 
 	private static final double URGENT_SLACK_RATIO = 1.5;
 
+	/**
+	 * Time after which instances agree on the home, where none is given, in milliseconds.
+	 */
+	private static final long DEFAULT_AGREEMENT_MILLIS = 4_000;
+
+	/**
+	 * A home that has not run for this time may have been replaced, in milliseconds:
+	 * shorter than a failure timeout less a heartbeat period.
+	 */
+	private static final long MAX_PAUSE_MILLIS = 500;
+
+	private static final double MILLIS_PER_SECOND = 1000.0;
+
 	private final PlacementPolicy policy;
 
 	private final ColdStartRamp.Settings rampSettings;
@@ -53,13 +68,19 @@
 
 	private FencingToken fencingToken = FencingToken.NONE;
 
-	private long settleEndMillis;
+	private final long settleEndMillis;
+
+	private final long agreementMillis;
+
+	private long lastRunMillis = Long.MIN_VALUE / 2;
 
 	private long lastExpiryMillis;
 
 	private boolean isOut;
 
-	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis) {
+	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis,
+			long agreementMillis) {
+		this.agreementMillis = agreementMillis;
 		this.policy = policy;
 		this.rampSettings = rampSettings;
 		this.allocations = new ShardAllocations(rampSettings);
@@ -76,7 +97,39 @@
 	 * @return the home
 	 */
 	public static ShardHome of(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis) {
-		return new ShardHome(policy, rampSettings, settleEndMillis);
+		return new ShardHome(policy, rampSettings, settleEndMillis, DEFAULT_AGREEMENT_MILLIS);
+	}
+
+	/**
+	 * Returns a home without endpoints.
+	 * @param policy the policy that places requests on endpoints
+	 * @param rampSettings the slow-start ramp of endpoints that have just started
+	 * @param settleEndMillis when the settle time for announcements of the previous
+	 * home's grants ends, in milliseconds since the epoch
+	 * @param agreementMillis how long two instances may take themselves for the home, in
+	 * milliseconds
+	 * @return the home
+	 */
+	public static ShardHome of(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis,
+			long agreementMillis) {
+		return new ShardHome(policy, rampSettings, settleEndMillis, agreementMillis);
+	}
+
+	/**
+	 * Records that another instance may take itself for the home, so that this home
+	 * leaves it most of the rate that cold endpoints tolerate until they have agreed.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 */
+	public synchronized void expectOtherHome(long nowMillis) {
+		this.allocations.shareColdRates(nowMillis + this.agreementMillis, nowMillis);
+	}
+
+	// Covers the take-over as well, since a new home has not run before.
+	private void detectPause(long nowMillis) {
+		if (nowMillis - this.lastRunMillis > MAX_PAUSE_MILLIS) {
+			expectOtherHome(nowMillis);
+		}
+		this.lastRunMillis = Math.max(this.lastRunMillis, nowMillis);
 	}
 
 	/**
@@ -104,6 +157,7 @@
 	 */
 	public synchronized GrantDecision request(InstanceId holder, GrantRequest request, boolean mayQueue,
 			long nowMillis) {
+		detectPause(nowMillis);
 		Grant existing = this.allocations.grant(request.key());
 		if (existing != null) {
 			return new GrantDecision.Granted(existing);
@@ -116,14 +170,16 @@
 		}
 		ErrorCode refusal = refusal(request, nowMillis);
 		if (refusal != null) {
-			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal, RETRY_AFTER_MILLIS);
+			long coldWait = coldWaitMillis(request, nowMillis);
+			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal,
+					(coldWait > 0) ? coldWait : RETRY_AFTER_MILLIS);
 		}
 		Grant grant = this.queue.isFirst(request, nowMillis) ? tryGrant(holder, request, mayQueue, nowMillis) : null;
 		if (grant != null) {
 			return new GrantDecision.Granted(grant);
 		}
 		if (!mayQueue) {
-			double delay = this.policy.estimateFirstTokenMillis(request, this.allocations.endpoints(), nowMillis);
+			double delay = estimateFirstTokenMillis(request, nowMillis);
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
 					(long) delay + 1);
 		}
@@ -131,6 +187,39 @@
 		return new GrantDecision.Queued(request.requestId(), request.attempt());
 	}
 
+	private double estimateFirstTokenMillis(GrantRequest request, long nowMillis) {
+		double estimate = this.policy.estimateFirstTokenMillis(request, this.allocations.endpoints(), nowMillis);
+		long coldWait = coldWaitMillis(request, nowMillis);
+		return (coldWait > 0) ? Math.min(estimate, coldWait) : estimate;
+	}
+
+	/**
+	 * Estimates how long a request waits because all its endpoints are cold: until those
+	 * in the queue before it are granted at the rates of the endpoints, or until the
+	 * first endpoint is warm.
+	 * @param request the request
+	 * @param nowMillis the time in milliseconds
+	 * @return milliseconds, 0 if an endpoint is warm or none is eligible
+	 */
+	private long coldWaitMillis(GrantRequest request, long nowMillis) {
+		double requestsPerSecond = 0;
+		double available = 0;
+		long coldMillis = Long.MAX_VALUE;
+		for (EndpointAllocations endpoint : this.allocations.endpoints()) {
+			if (endpoint.isEligible(request)) {
+				ColdRequestLimit limit = endpoint.coldLimit();
+				requestsPerSecond += limit.requestsPerSecond(nowMillis);
+				available += Math.floor(limit.available(nowMillis));
+				coldMillis = Math.min(coldMillis, limit.remainingMillis(nowMillis));
+			}
+		}
+		if (requestsPerSecond == 0 || coldMillis == 0) {
+			return 0;
+		}
+		double missing = Math.max(0, this.queue.size() + 1 - available);
+		return Math.min(coldMillis, (long) Math.ceil(missing / requestsPerSecond * MILLIS_PER_SECOND));
+	}
+
 	private GrantDecision decideParts(InstanceId holder, GrantRequest request, long nowMillis) {
 		List<Share> shares = (this.isOut || nowMillis < this.settleEndMillis) ? List.of()
 				: this.policy.placeParts(request, this.allocations.endpoints(), nowMillis);
@@ -168,7 +257,8 @@
 				? first.prefillMillis(request.promptTokens()) / eligible.size()
 						+ first.prefillMillis((long) queuedTokensPerEndpoint)
 				: first.prefillMillis(request.promptTokens() + (long) queuedTokensPerEndpoint);
-		return nowMillis + prefillMillis <= request.latencyTarget().firstTokenDeadlineMillis();
+		return nowMillis + coldWaitMillis(request, nowMillis) + prefillMillis <= request.latencyTarget()
+			.firstTokenDeadlineMillis();
 	}
 
 	private Grant tryGrant(InstanceId holder, GrantRequest request, boolean mayQueue, long nowMillis) {
@@ -184,7 +274,10 @@
 	private Grant allocate(InstanceId holder, GrantRequest request, List<Share> shares, long nowMillis) {
 		long expiry = request.deadlineMillis() + GRANT_EXPIRY_SLACK_MILLIS;
 		int priority = this.policy.priority(request, isUrgent(request, nowMillis));
-		Grant grant = new Grant(request, shares, this.fencingToken, expiry, priority, this.policy.isPrefillParallel());
+		boolean isCold = this.allocations.recordGrant(shares, nowMillis);
+		long latestStart = isCold ? nowMillis + ColdRequestLimit.MAX_START_DELAY_MILLIS : Grant.NO_LATEST_START;
+		Grant grant = new Grant(request, shares, this.fencingToken, expiry, priority, this.policy.isPrefillParallel(),
+				latestStart);
 		this.allocations.allocate(holder, grant, nowMillis);
 		return grant;
 	}
@@ -282,6 +375,7 @@
 	 * @return decisions on queued requests
 	 */
 	public synchronized List<HomeDecision> tick(long nowMillis) {
+		detectPause(nowMillis);
 		if (nowMillis - this.lastExpiryMillis >= EXPIRY_PERIOD_MILLIS) {
 			this.lastExpiryMillis = nowMillis;
 			this.allocations.releaseExpired(nowMillis);
@@ -307,6 +401,7 @@
 	}
 
 	private List<HomeDecision> dispatchQueued(long nowMillis) {
+		detectPause(nowMillis);
 		if (this.queue.size() == 0 || this.allocations.endpoints().isEmpty()) {
 			return List.of();
 		}
@@ -346,6 +441,7 @@
 	 */
 	public synchronized List<HomeDecision> observe(Collection<EndpointReport> reports, Set<EndpointId> outEndpoints,
 			long nowMillis) {
+		detectPause(nowMillis);
 		this.allocations.observe(reports, outEndpoints, nowMillis);
 		return dispatchQueued(nowMillis);
 	}
@@ -363,6 +459,17 @@
 		return found == null || found.startPollIfDue(nowMillis);
 	}
 
+	/**
+	 * Makes the next poll of an endpoint due at once, since its state has changed.
+	 * @param endpoint the endpoint; one outside the shard is ignored
+	 */
+	public synchronized void pollSoon(EndpointId endpoint) {
+		EndpointAllocations found = this.allocations.endpoint(endpoint);
+		if (found != null) {
+			found.pollSoon();
+		}
+	}
+
 	/**
 	 * Marks an endpoint that could not be reached, so that it is not granted until its
 	 * next report or a timeout.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/request/Grant.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/Grant.java
@@ -20,16 +20,22 @@
  * @param priority the priority that the engine is given; higher runs first
  * @param isParallel whether the endpoints prefill their parts of the prompt at the same
  * time; otherwise one after another
+ * @param latestStartMillis when the request must have been sent, in milliseconds since
+ * the epoch, since the grant counts for the rate of a cold endpoint;
+ * {@link #NO_LATEST_START} if it may be sent at any time
  */
 public record Grant(GrantRequest request, List<Share> shares, FencingToken fencingToken, long expiryMillis,
-		int priority, boolean isParallel) {
+		int priority, boolean isParallel, long latestStartMillis) {
+
+	/** The request may be sent at any time until the grant expires. */
+	public static final long NO_LATEST_START = 0;
 
 	public Grant {
 		shares = List.copyOf(shares);
 	}
 
 	public Grant(GrantRequest request, List<Share> shares, FencingToken fencingToken, long expiryMillis, int priority) {
-		this(request, shares, fencingToken, expiryMillis, priority, false);
+		this(request, shares, fencingToken, expiryMillis, priority, false, NO_LATEST_START);
 	}
 
 	/**
@@ -39,7 +45,17 @@
 	 */
 	public Grant shifted(long deltaMillis) {
 		return new Grant(this.request.shifted(deltaMillis), this.shares, this.fencingToken,
-				this.expiryMillis + deltaMillis, this.priority, this.isParallel);
+				this.expiryMillis + deltaMillis, this.priority, this.isParallel,
+				hasLatestStart() ? this.latestStartMillis + deltaMillis : NO_LATEST_START);
+	}
+
+	/**
+	 * Returns whether the request must be sent early, as the grant counts for the rate of
+	 * a cold endpoint.
+	 * @return true if there is a latest start
+	 */
+	public boolean hasLatestStart() {
+		return this.latestStartMillis != NO_LATEST_START;
 	}
 
 	/**
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/MembershipTableTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/MembershipTableTests.java
@@ -40,6 +40,18 @@
 		Assert.assertEquals(table.live(ZONE, 2_700).size(), 2);
 	}
 
+	@Test
+	public void memberIsSilentAfterTheTimeoutUntilItIsHeardOrTakenForEnded() {
+		MembershipTable table = MembershipTable.of(member("a"), TIMEOUT_MILLIS);
+		table.mergeMembers(List.of(member("b"), member("c").withDraining()), 0);
+		Assert.assertFalse(table.hasSilentMember(20_000, 2_500));
+		Assert.assertTrue(table.hasSilentMember(20_000, 2_501));
+		Assert.assertTrue(table.hasSilentMember(20_000, 20_000));
+		Assert.assertFalse(table.hasSilentMember(20_000, 20_001));
+		table.mergeMembers(List.of(member("b").plusHeartbeat()), 20_100);
+		Assert.assertFalse(table.hasSilentMember(20_000, 20_200));
+	}
+
 	@Test
 	public void drainingMemberIsNeverHome() {
 		MembershipTable table = MembershipTable.of(member("a"), TIMEOUT_MILLIS);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -57,6 +57,15 @@
 
 	private static final long HOLDER_GRACE_MILLIS = 10_000;
 
+	/** A peer that has been silent for longer is taken for ended, in milliseconds. */
+	private static final long MAX_CUT_OFF_MILLIS = 20_000;
+
+	/**
+	 * Time after the failure timeout within which two instances that take themselves for
+	 * the home of a shard hear from each other and one gives it up, in milliseconds.
+	 */
+	private static final long AGREEMENT_MARGIN_MILLIS = 1_000;
+
 	private final Settings settings;
 
 	private final MembershipTable membership;
@@ -132,6 +141,17 @@
 		if (!this.homes.isEmpty()) {
 			releaseEndedHolders(now);
 		}
+		if (this.membership.hasSilentMember(MAX_CUT_OFF_MILLIS, now)) {
+			this.homes.values().forEach((home) -> home.shardHome().expectOtherHome(now));
+		}
+	}
+
+	/**
+	 * Makes the next poll of an endpoint due at once, since its state has changed.
+	 * @param endpoint the endpoint; one outside the local shards is ignored
+	 */
+	public void pollSoon(EndpointId endpoint) {
+		this.homes.values().forEach((home) -> home.shardHome().pollSoon(endpoint));
 	}
 
 	/**
@@ -169,7 +189,7 @@
 		if (isHome && existing == null && this.mayTakeOver) {
 			logger.info("taking over shard {}", shard);
 			ShardHome home = ShardHome.of(this.placementPolicies.get(), this.settings.ramp(),
-					now + this.settings.settleMillis());
+					now + this.settings.settleMillis(), this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS);
 			home.setOut(this.activeConfiguration.state().isZoneOut(shard.zone()), now);
 			this.homes.put(shard, new Home(home));
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -73,8 +73,8 @@
 	/**
 	 * Replaces the entries of endpoints.
 	 * @param published the entries
-	 * @return whether an endpoint is new, has restarted, has another address, or has
-	 * started or stopped draining
+	 * @return whether an endpoint is new, has restarted, has another address, has become
+	 * cold, or has started or stopped draining
 	 */
 	public boolean update(List<EndpointEntry> published) {
 		List<EndpointEntry> changed = new ArrayList<>();
@@ -97,7 +97,8 @@
 	private boolean isChangedBy(EndpointEntry entry) {
 		ReceivedEntry known = this.endpoints.get(entry.endpoint().value());
 		return known == null || known.entry.isDraining() != entry.isDraining()
-				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address());
+				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address())
+				|| (known.entry.coldMillis() == 0 && entry.coldMillis() > 0);
 	}
 
 	private static void log(EndpointEntry entry) {
@@ -225,9 +226,11 @@
 			.orElse(new RoutingTable.Service(entry.service(), 0, 0, 0, null));
 		double rate = (service.engine() != null) ? service.engine().prefillTokensPerMilli() * MILLIS_PER_SECOND : 1;
 		long uptime = (entry.coldMillis() > 0) ? 0 : WARM_UPTIME_MILLIS;
+		long coldEndMillis = (entry.coldMillis() > 0) ? received.receivedMillis + entry.coldMillis() : 0;
 		return new EndpointReport(entry.endpoint(), String.valueOf(entry.lifetime()), entry.isDraining(),
 				Set.of(entry.service()), entry.slots(), service.kvTokens(), rate, 0, uptime, Set.of(),
-				received.receivedMillis, service.engine());
+				received.receivedMillis, service.engine(),
+				new EndpointReport.ColdPeriod(service.coldRequestsPerSecond(), coldEndMillis));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -334,6 +334,9 @@
 			}
 		}
 		if (this.entries.update(published)) {
+			published.stream()
+				.filter((entry) -> entry.coldMillis() > 0)
+				.forEach((entry) -> this.node.localHomes().pollSoon(entry.endpoint()));
 			this.node.refreshEndpoints();
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.Share;
 import org.poplarloom.entry.request.GrantClient;
 import org.poplarloom.entry.request.HeldGrant;
@@ -78,6 +79,20 @@
 		return this.helpers.stream().filter((helper) -> helper.kvTokens() > 0).toList();
 	}
 
+	/**
+	 * Returns when the request must have been sent, since one of the endpoints is cold.
+	 * @return the earliest of the latest starts of the grants, in milliseconds since the
+	 * epoch; {@link Grant#NO_LATEST_START} if there is none
+	 */
+	long latestStartMillis() {
+		return this.grants.stream()
+			.map(HeldGrant::grant)
+			.filter(Grant::hasLatestStart)
+			.mapToLong(Grant::latestStartMillis)
+			.min()
+			.orElse(Grant.NO_LATEST_START);
+	}
+
 	int priority() {
 		return this.grants.get(0).grant().priority();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
@@ -108,6 +108,11 @@
 			grantClient().release(grant, null);
 			return;
 		}
+		if (grant.grant().hasLatestStart() && grant.grant().latestStartMillis() < this.service.nowMillis()) {
+			grantClient().release(grant, null);
+			start();
+			return;
+		}
 		if (!this.service.entries().mayServe(grant.grant().answeringEndpoint())) {
 			grantClient().release(grant, null);
 			this.criteria.excluded().add(grant.grant().answeringEndpoint());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.request.Grant;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.Dispatch;
@@ -107,6 +108,14 @@
 	}
 
 	private void send() {
+		long maxDelayMillis = HttpExchanger.NO_MAX_DELAY;
+		if (this.endpoints.latestStartMillis() != Grant.NO_LATEST_START) {
+			maxDelayMillis = this.endpoints.latestStartMillis() - this.run.service().nowMillis();
+			if (maxDelayMillis < 0) {
+				fail(AttemptFailure.notExecuted("the grant on a cold endpoint is too old", null), null);
+				return;
+			}
+		}
 		EndpointProtocol protocol = this.run.service().protocol();
 		List<String> helpers = this.endpoints.helpers()
 			.stream()
@@ -117,7 +126,8 @@
 				helpers, this.run.lastEventId());
 		this.exchange = this.run.service()
 			.exchanger()
-			.send(this.endpoints.answering().address(), protocol.write(this.run.request(), dispatch), this);
+			.send(this.endpoints.answering().address(), protocol.write(this.run.request(), dispatch), maxDelayMillis,
+					this);
 	}
 
 	@Override
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/PublishedEntriesTests.java
@@ -4,8 +4,10 @@
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.entry.version.ActiveRouting;
 import org.poplarloom.port.EndpointEntry;
 
@@ -67,6 +69,26 @@
 		Assert.assertTrue(entries.mayServe(EndpointId.of("i-1")));
 	}
 
+	/**
+	 * Guards against an endpoint that becomes cold again and is noticed at the next poll
+	 * only.
+	 */
+	@Test
+	public void anEndpointThatBecomesColdIsReportedOnce() {
+		PublishedEntries entries = new PublishedEntries(new ActiveRouting(), () -> 1_000);
+		entries.update(List.of(entry("i-1", false)));
+		Assert.assertTrue(entries.update(List.of(coldEntry("i-1", 3_000))));
+		Assert.assertFalse(entries.update(List.of(coldEntry("i-1", 2_000))));
+		EndpointReport report = Mono.from(entries.report("10.0.0.1:80")).block();
+		Assert.assertEquals(report.coldPeriod().endMillis(), 3_000);
+		Assert.assertFalse(entries.update(List.of(entry("i-1", false))));
+		Assert.assertEquals(Mono.from(entries.report("10.0.0.1:80")).block().coldPeriod().endMillis(), 0);
+	}
+
+	private static EndpointEntry coldEntry(String id, long coldMillis) {
+		return new EndpointEntry(EndpointId.of(id), "model", "10.0.0.1:80", "norte-a", 4, false, coldMillis, 1, 2);
+	}
+
 	private static EndpointEntry entry(String id, boolean isDraining) {
 		return new EndpointEntry(EndpointId.of(id), "model", "10.0.0.1:80", "norte-a", 4, isDraining, 0, 1, 1);
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -56,6 +56,10 @@
 
 	private long reusableUntilNanos;
 
+	private long connectStartedNanos;
+
+	private long maxDelayMillis;
+
 	private long keepAliveMillis = HttpExchanger.DEFAULT_KEEP_ALIVE_MILLIS;
 
 	HttpConnection(HttpExchanger exchanger, String address) {
@@ -71,8 +75,10 @@
 		return this.context.channel().isActive() && !this.isReuseForbidden && nowNanos < this.reusableUntilNanos;
 	}
 
-	HttpExchanger.Exchange startWhenConnected(FullHttpRequest request, ExchangeListener listener) {
+	HttpExchanger.Exchange startWhenConnected(FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		this.current = new CurrentExchange(request, listener);
+		this.connectStartedNanos = System.nanoTime();
+		this.maxDelayMillis = maxDelayMillis;
 		return this.current;
 	}
 
@@ -102,16 +108,24 @@
 			ctx.close();
 			return;
 		}
+		if (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.connectStartedNanos) > this.maxDelayMillis) {
+			failUnsent("connected too late to " + this.address, null);
+			ctx.close();
+			return;
+		}
 		write(this.current);
 	}
 
 	void handleConnectFailure(Throwable cause) {
+		failUnsent("cannot connect to " + this.address, cause);
+	}
+
+	private void failUnsent(String message, Throwable cause) {
 		CurrentExchange failed = this.current;
 		this.current = null;
 		if (failed != null) {
 			failed.request.release();
-			failed.listener
-				.fail(new HttpExchanger.ExchangeException("cannot connect to " + this.address, false, cause));
+			failed.listener.fail(new HttpExchanger.ExchangeException(message, false, cause));
 		}
 	}
 
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -27,6 +27,9 @@
  */
 public final class HttpExchanger {
 
+	/** The request may be sent whenever the connection is open. */
+	public static final long NO_MAX_DELAY = Long.MAX_VALUE;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
 	/**
@@ -63,11 +66,25 @@
 	 * @return the exchange
 	 */
 	public Exchange send(String address, FullHttpRequest request, ExchangeListener listener) {
+		return send(address, request, NO_MAX_DELAY, listener);
+	}
+
+	/**
+	 * Starts an exchange, on an idle connection if there is one, unless the request
+	 * cannot be sent soon.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param maxDelayMillis the time after which the request is not sent any more, in
+	 * milliseconds, or {@link #NO_MAX_DELAY}
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange send(String address, FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		HttpConnection idleConnection = takeIdle(address);
 		if (idleConnection != null) {
 			return idleConnection.start(request, listener);
 		}
-		return open(address, request, listener);
+		return open(address, request, maxDelayMillis, listener);
 	}
 
 	private HttpConnection takeIdle(String address) {
@@ -82,12 +99,12 @@
 		return null;
 	}
 
-	private Exchange open(String address, FullHttpRequest request, ExchangeListener listener) {
+	private Exchange open(String address, FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
 		int colon = address.lastIndexOf(':');
 		InetSocketAddress endpointAddress = new InetSocketAddress(address.substring(0, colon),
 				Integer.parseInt(address.substring(colon + 1)));
-		Exchange exchange = connection.startWhenConnected(request, listener);
+		Exchange exchange = connection.startWhenConnected(request, maxDelayMillis, listener);
 		this.openedConnections++;
 		new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
