Count endpoints of a zone that is taken back in as cold until they have reported

What callers saw: nothing yet; endpoints of an evacuated zone may become cold just before it is taken back in, and their entries come later than the command (FAILBACK).

Cause: the home granted them at any rate until it had read their entries.

Change: for 1.5 s after a zone is taken back in, its endpoints that have a rate for cold ones are granted at that rate.

So a home that reads an entry 1.5 s after the command at the latest keeps the rate; a zone that returns warm loses at most its rate above that for 1.5 s.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ColdRequestLimit.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ColdRequestLimit.java
@@ -41,6 +41,8 @@
 
 	private long sharedUntilMillis;
 
+	private long presumedEndMillis = NEVER_MILLIS;
+
 	/**
 	 * Creates the limit for an endpoint that is new to the home.
 	 * @param period when the endpoint is cold and its rate while it is
@@ -67,8 +69,20 @@
 		refill(nowMillis);
 	}
 
+	/**
+	 * Treats the endpoint as cold for a time, as it may be without having reported it.
+	 * @param newPresumedEndMillis the end of that time in milliseconds since the epoch
+	 */
+	void presumeColdUntil(long newPresumedEndMillis) {
+		this.presumedEndMillis = newPresumedEndMillis;
+	}
+
 	boolean isCold(long nowMillis) {
-		return this.period.requestsPerSecond() > 0 && nowMillis < this.period.endMillis();
+		return this.period.requestsPerSecond() > 0 && nowMillis < endMillis();
+	}
+
+	private long endMillis() {
+		return Math.max(this.period.endMillis(), this.presumedEndMillis);
 	}
 
 	/**
@@ -103,7 +117,7 @@
 	 * @return milliseconds, 0 if it is not cold
 	 */
 	long remainingMillis(long nowMillis) {
-		return isCold(nowMillis) ? this.period.endMillis() - nowMillis : 0;
+		return isCold(nowMillis) ? endMillis() - nowMillis : 0;
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
@@ -43,6 +43,9 @@
 	 */
 	private static final long MAX_UNREACHABLE_MILLIS = 2_000;
 
+	/** Time within which the home has read that an endpoint has become cold. */
+	private static final long COLD_NOTICE_MILLIS = 1_500;
+
 	/** Extra wait of a long prompt that is accepted to avoid delaying one answer. */
 	private static final double DELAYED_ANSWER_PENALTY_MILLIS = 200;
 
@@ -445,8 +448,13 @@
 				&& nowMillis - this.unreachableSinceMillis < MAX_UNREACHABLE_MILLIS;
 	}
 
-	void restartRamp(long nowMillis) {
+	/**
+	 * Treats the endpoint as one that has just started, since its zone was out.
+	 * @param nowMillis the time in milliseconds
+	 */
+	void resume(long nowMillis) {
 		this.ramp.restart(nowMillis);
+		this.coldLimit.presumeColdUntil(nowMillis + COLD_NOTICE_MILLIS);
 	}
 
 	void setOut(boolean isOut) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -488,14 +488,14 @@
 
 	/**
 	 * Stops or resumes granting; when it resumes, all endpoints restart their slow-start
-	 * ramps.
+	 * ramps and count as cold for a short time, since they may have become cold.
 	 * @param isOut whether the shard's zone is out and takes no new work
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return refusals of the queued requests, empty if the zone is in
 	 */
 	public synchronized List<HomeDecision> setOut(boolean isOut, long nowMillis) {
 		if (this.isOut && !isOut) {
-			this.allocations.endpoints().forEach((endpoint) -> endpoint.restartRamp(nowMillis));
+			this.allocations.endpoints().forEach((endpoint) -> endpoint.resume(nowMillis));
 		}
 		this.isOut = isOut;
 		if (!isOut) {
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/ColdEndpointsTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/ColdEndpointsTests.java
@@ -143,6 +143,35 @@
 			load.assertTolerated(14, RETURN_MILLIS + 1, RETURN_MILLIS + 4_000);
 		}
 
+		/** Endpoints may become cold just before their zone is taken back in. */
+		@Test
+		public void zoneTakenBackInIsColdUntilItsEndpointsHaveReported() {
+			ShardHome home = home();
+			home.observe(reports(1, 14, 0, 0), Set.of(), 0);
+			home.setOut(true, 100);
+			keepRunning(home, RETURN_MILLIS);
+			home.setOut(false, RETURN_MILLIS);
+			Load load = new Load(60);
+			long reported = RETURN_MILLIS + 900;
+			load.run(RETURN_MILLIS, reported, home);
+			home.observe(reports(1, 14, FAR_MILLIS, reported), Set.of(), reported);
+			load.run(reported, RETURN_MILLIS + 4_000, home);
+			load.assertTolerated(14, RETURN_MILLIS, RETURN_MILLIS + 4_000);
+		}
+
+		@Test
+		public void zoneTakenBackInWarmIsGrantedAtAnyRateAfterThat() {
+			ShardHome home = home();
+			home.observe(reports(1, 14, 0, 0), Set.of(), 0);
+			home.setOut(true, 100);
+			keepRunning(home, RETURN_MILLIS);
+			home.setOut(false, RETURN_MILLIS);
+			Load load = new Load(60);
+			load.run(RETURN_MILLIS, RETURN_MILLIS + 4_000, home);
+			int granted = load.countsBetween(RETURN_MILLIS + 2_000, RETURN_MILLIS + 4_000).get(0);
+			Assert.assertTrue(granted >= 118, granted + " grants in two seconds");
+		}
+
 		@Test
 		public void warmEndpointIsGrantedAtAnyRateWithoutALatestStart() {
 			ShardHome home = home();
