--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -51,7 +51,7 @@
 			new ParallelPrefill(2, 3, 1.5, 9));
 
 	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
-			new FencingToken(99), 200_000, 30);
+			new FencingToken(99), 200_000, 30, true, 1_500);
 
 	@DataProvider
 	public static Object[] messages() {
