--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -333,8 +333,13 @@
 			entry.ifPresent(published::add);
 			isChanged |= entry.isEmpty() && this.entries.remove(record.key(), this.node.clock().nowMillis());
 		}
-		isChanged |= this.entries.update(published);
-		if (isChanged) {
+		boolean isUpdated = this.entries.update(published);
+		if (isUpdated) {
+			published.stream()
+				.filter((entry) -> entry.coldMillis() > 0)
+				.forEach((entry) -> this.node.localHomes().pollSoon(entry.endpoint()));
+		}
+		if (isUpdated || isChanged) {
 			this.node.refreshEndpoints();
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -15,6 +15,7 @@
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.process.MemoryBudget;
+import org.poplarloom.core.request.Grant;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.Dispatch;
@@ -140,6 +141,14 @@
 	}
 
 	private void send() {
+		long maxDelayMillis = HttpExchanger.NO_MAX_DELAY;
+		if (this.endpoints.latestStartMillis() != Grant.NO_LATEST_START) {
+			maxDelayMillis = this.endpoints.latestStartMillis() - this.run.service().nowMillis();
+			if (maxDelayMillis < 0) {
+				fail(AttemptFailure.notExecuted("the grant on a cold endpoint is too old", null), null);
+				return;
+			}
+		}
 		EndpointProtocol protocol = this.run.service().protocol();
 		List<String> helpers = this.endpoints.helpers()
 			.stream()
@@ -154,8 +163,8 @@
 		FullHttpRequest request = protocol.write(this.run.request(), dispatch);
 		// On a connection that carried the request before, its earlier answer may come
 		// once more, and nothing would tell the two apart.
-		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, this)
-				: exchanger.sendOnNewConnection(address, request, this);
+		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, maxDelayMillis, this)
+				: exchanger.sendOnNewConnection(address, request, maxDelayMillis, this);
 	}
 
 	@Override
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -28,6 +28,9 @@
  */
 public final class HttpExchanger {
 
+	/** The request may be sent whenever the connection is open. */
+	public static final long NO_MAX_DELAY = Long.MAX_VALUE;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
 	/**
@@ -71,11 +74,25 @@
 	 * @return the exchange
 	 */
 	public Exchange send(String address, FullHttpRequest request, ExchangeListener listener) {
+		return send(address, request, NO_MAX_DELAY, listener);
+	}
+
+	/**
+	 * Starts an exchange, on an idle connection if there is one, unless the request
+	 * cannot be sent soon.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param maxDelayMillis the time after which the request is not sent any more, in
+	 * milliseconds, or {@link #NO_MAX_DELAY}
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange send(String address, FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		HttpConnection idleConnection = takeIdle(address);
 		if (idleConnection != null) {
 			return idleConnection.start(request, listener);
 		}
-		return sendOnNewConnection(address, request, listener);
+		return sendOnNewConnection(address, request, maxDelayMillis, listener);
 	}
 
 	private HttpConnection takeIdle(String address) {
@@ -99,8 +116,23 @@
 	 * @return the exchange
 	 */
 	public Exchange sendOnNewConnection(String address, FullHttpRequest request, ExchangeListener listener) {
+		return sendOnNewConnection(address, request, NO_MAX_DELAY, listener);
+	}
+
+	/**
+	 * Starts an exchange on a new connection, which cannot deliver the response to an
+	 * earlier request, unless the request cannot be sent soon.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param maxDelayMillis the time after which the request is not sent any more, in
+	 * milliseconds, or {@link #NO_MAX_DELAY}
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange sendOnNewConnection(String address, FullHttpRequest request, long maxDelayMillis,
+			ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
-		Exchange exchange = connection.startWhenConnected(request, listener);
+		Exchange exchange = connection.startWhenConnected(request, maxDelayMillis, listener);
 		InetSocketAddress endpointAddress;
 		try {
 			int colon = address.lastIndexOf(':');
