A failing test: a part of a response on an idle connection fails the next request

What callers saw: 502 "answer is not HTTP" for a request that a new connection would have served.

Cause: data on an idle connection closes it only once the codec has made an object of it. Less than a head stays in the codec's buffer, and the next response is appended to it. The class comment of HttpConnection promises more.

Change: tests only. No rule is broken: heads that are joined are rejected.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
@@ -40,6 +40,9 @@
 	/** Exceeds the memory of one endpoint, so that its helper has to reserve memory. */
 	private static final int TOO_LONG_PROMPT_TOKENS = 450_000;
 
+	/** After this delay an instance has read an answer and keeps its connection idle. */
+	private static final long IDLE_MILLIS = 100;
+
 	/** After this delay an instance has read a changed entry of an endpoint. */
 	private static final long ENTRY_DELAY_MILLIS = 500;
 
@@ -143,6 +146,39 @@
 		Assert.assertEquals(misread, List.of(), "parts after which a request that ran was refused");
 	}
 
+	@DataProvider
+	public static Object[][] partsAfterAnAnswer() {
+		return new Object[][] { { "H", 0 }, { "H", IDLE_MILLIS }, { "HTTP/1.1 200 OK\r\nContent-", 0 },
+				{ "HTTP/1.1 200 OK\r\nContent-", IDLE_MILLIS }, { "\r\n", 0 } };
+	}
+
+	/**
+	 * Guards against a request that fails because it was sent on a connection that had
+	 * delivered a part of a response while no request was in progress.
+	 */
+	@Test(dataProvider = "partsAfterAnAnswer", groups = "known-red")
+	public void aPartOfAnAnswerOnAnIdleConnectionDoesNotFailTheNextRequest(String part, long delayMillis) {
+		configure("app", "ready");
+		this.firstWorker.respondWith((request, out) -> {
+			String answer = out.head(request, 200, "Content-Length: 2") + "ok";
+			if (!request.header("Request-Id").equals("earlier")) {
+				out.write(answer);
+			}
+			else if (delayMillis == 0) {
+				out.write(answer + part);
+			}
+			else {
+				out.write(answer);
+				pause(delayMillis);
+				out.write(part);
+			}
+		});
+		exchange("POST /once/a", "earlier", "swap");
+		pause(2 * IDLE_MILLIS);
+		String answer = exchange("POST /once/b", "next", "swap");
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+	}
+
 	/**
 	 * Guards against an endpoint that is not used on although it has refused a request
 	 * with the first response on a connection, which can belong to no other request.
