--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -66,6 +66,9 @@
 
 	private final boolean isFirstAtEndpoint;
 
+	/** Whether an earlier attempt has begun the stream that this one must continue. */
+	private final boolean isContinuation;
+
 	private HttpExchanger.Exchange exchange;
 
 	private HttpResponse head;
@@ -84,6 +87,8 @@
 
 	private boolean survivedBeginning;
 
+	private boolean eventAdded;
+
 	private boolean ended;
 
 	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId, boolean isFirstAtEndpoint) {
@@ -94,6 +99,7 @@
 				: new MemoryReservation(reservationId, endpoints, () -> this.lastReceivedMillis, run.service());
 		this.reservationId = reservationId;
 		this.memory = run.service().memory().openShare();
+		this.isContinuation = run.isStreamStarted();
 	}
 
 	EndpointId endpoint() {
@@ -141,7 +147,7 @@
 			.toList();
 		int rank = RANK_AT_PRIORITY_ZERO - this.endpoints.priority() / PRIORITY_PER_RANK;
 		Dispatch dispatch = new Dispatch(endpoint().value(), this.run.teamName(), this.run.remainingMillis(), rank,
-				helpers, this.run.lastEventId());
+				helpers, this.run.position().lastEventId());
 		HttpExchanger exchanger = this.run.service().exchanger();
 		String address = this.endpoints.answering().address();
 		FullHttpRequest request = protocol.write(this.run.request(), dispatch);
@@ -179,14 +185,12 @@
 		}
 		recordProgress();
 		if (isStream()) {
-			for (EventBuffer.Event event : this.events.add(content)) {
-				if (!this.ended) {
-					this.run.writeEvent(this.head, event);
-				}
-			}
-			if (!this.ended) {
-				reserve("event", this.events.pendingBytes(), MAX_EVENT_BYTES);
-			}
+			writeEvents(content);
+			return;
+		}
+		if (this.isContinuation && this.replyKind == Reply.ANSWER) {
+			this.exchange.cancel();
+			failNoStream();
 			return;
 		}
 		if (this.replyKind != Reply.ANSWER && this.replyKind != Reply.FAILED) {
@@ -201,6 +205,31 @@
 		this.body.writeBytes(bytes);
 	}
 
+	private void writeEvents(ByteBuf content) {
+		for (EventBuffer.Event event : this.events.add(content)) {
+			if (this.isContinuation && !this.run.position().isContinuedBy(event)) {
+				this.exchange.cancel();
+				failNotContinued("event " + event.id() + " after event " + this.run.position().lastEventId());
+				return;
+			}
+			this.eventAdded |= !event.isComment() && !this.run.position().isRepetition(event);
+			this.run.writeEvent(this.head, event);
+			if (this.ended) {
+				return;
+			}
+		}
+		reserve("event", this.events.pendingBytes(), MAX_EVENT_BYTES);
+	}
+
+	private void failNoStream() {
+		failNotContinued("status " + this.head.status().code() + ", type "
+				+ this.head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+	}
+
+	private void failNotContinued(String detail) {
+		fail(AttemptFailure.executionUnknown("answer does not continue the stream: " + detail, false), null);
+	}
+
 	private void ignore(ByteBuf content) {
 		this.ignoredBytes += content.readableBytes();
 		if (this.ignoredBytes > MAX_IGNORED_BYTES) {
@@ -281,9 +310,17 @@
 	}
 
 	private void endAnswer() {
-		if (isStream() && isBrokenOff()) {
+		if (this.isContinuation && !isStream()) {
+			failNoStream();
+		}
+		else if (isStream() && isBrokenOff()) {
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
+		else if (this.isContinuation && !this.eventAdded) {
+			// The end of an answer without events does not prove that the last event of
+			// the earlier answer was the last one of the stream.
+			failNotContinued("no event after event " + this.run.position().lastEventId());
+		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
 			completeIfEndpointRuns();
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -59,6 +59,8 @@
 
 	private final Set<EndpointId> attempted = new HashSet<>();
 
+	private final StreamPosition position;
+
 	private Route route;
 
 	private RoutingTable.Team team;
@@ -97,14 +99,12 @@
 
 	private int endpointCount;
 
-	private long lastEventId;
-
 	RelayRun(RelayService service, RelayRequest request, CallerReply reply) {
 		this.service = service;
 		this.request = request;
 		this.reply = reply;
 		this.startedMillis = service.nowMillis();
-		this.lastEventId = request.lastEventId();
+		this.position = new StreamPosition(request.lastEventId());
 	}
 
 	void start(RoutingTable table, Route chosen, RoutingTable.Team caller) {
@@ -210,8 +210,8 @@
 					.report(failed.endpoint(), failed.bootId(), fingerprint(), possiblePartCauses());
 			}
 		}
-		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
-				&& (!this.streamStarted || this.route.retryMode() == Route.RetryMode.RESUME));
+		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable() && (!this.streamStarted
+				|| (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
 		if (mayRetry && this.attemptCount < this.route.maxAttempts() && this.service.trySpendRetry(this.serviceName)) {
 			acquireGrant();
 			return;
@@ -293,12 +293,10 @@
 	 * @param event the event
 	 */
 	void writeEvent(HttpResponse head, EventBuffer.Event event) {
-		if (event.id() != RelayRequest.NO_EVENT) {
-			if (event.id() <= this.lastEventId) {
-				return;
-			}
-			this.lastEventId = event.id();
+		if (this.position.isRepetition(event)) {
+			return;
 		}
+		this.position.advance(event);
 		startStream(head);
 		recordPause();
 		this.reply.writeChunk(event.bytes());
@@ -322,7 +320,7 @@
 
 	void endStream(HttpResponse head) {
 		startStream(head);
-		complete("streamed", "last event " + this.lastEventId + " framing=" + AnswerFraming.of(head).text());
+		complete("streamed", "last event " + this.position.lastEventId() + " framing=" + AnswerFraming.of(head).text());
 		this.reply.endStream();
 	}
 
@@ -402,8 +400,17 @@
 		return this.deadlineMillis - this.service.nowMillis();
 	}
 
-	long lastEventId() {
-		return this.lastEventId;
+	StreamPosition position() {
+		return this.position;
+	}
+
+	/**
+	 * Returns whether the caller has received the head of a stream, which only events of
+	 * this stream may follow.
+	 * @return true if an earlier attempt has begun the stream
+	 */
+	boolean isStreamStarted() {
+		return this.streamStarted;
 	}
 
 }
