--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStrayReplyTests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.testng.Assert;
@@ -40,6 +41,12 @@
 	/** Exceeds the memory of one endpoint, so that its helper has to reserve memory. */
 	private static final int TOO_LONG_PROMPT_TOKENS = 450_000;
 
+	/** More than one endpoint serves at a time. */
+	private static final int PARALLEL_REQUESTS = 8;
+
+	/** Long enough for all parallel requests to be in progress together. */
+	private static final long RUN_MILLIS = 400;
+
 	/** After this delay an instance has read an answer and keeps its connection idle. */
 	private static final long IDLE_MILLIS = 100;
 
@@ -340,6 +347,62 @@
 		Assert.assertFalse(answer.startsWith("HTTP/1.1 2"), answer);
 	}
 
+	/**
+	 * Guards against memory that is renewed for an endpoint that has crashed, because an
+	 * earlier reply was read as the reply to the status check.
+	 */
+	@Test(groups = "known-red")
+	public void memoryIsNotRenewedForACrashedEndpointAfterAStrayReply() throws Exception {
+		publishAndAwaitParallelPrefill();
+		keepConnectionsToBothEndpoints();
+		AtomicReference<WorkerStandIn> crashed = new AtomicReference<>();
+		AtomicInteger renewals = new AtomicInteger();
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				if (request.header("Request-Id").equals("long")) {
+					crashed.set(worker);
+					worker.close();
+				}
+				else if (request.requestLine().startsWith("GET /report")) {
+					out.write(ORDER_REPLY);
+					worker.crash();
+				}
+				else {
+					if (crashed.get() != null && request.body().contains("reserve")) {
+						renewals.incrementAndGet();
+					}
+					answerOrderOrRequest(request, out);
+				}
+			});
+		}
+		sendPrompt("long", TOO_LONG_PROMPT_TOKENS);
+		Assert.assertNotNull(crashed.get());
+		Assert.assertEquals(renewals.get(), 0, "renewals after the crash");
+	}
+
+	private void keepConnectionsToBothEndpoints() throws InterruptedException {
+		respondWith((request, out) -> {
+			pause(RUN_MILLIS);
+			answerOrderOrRequest(request, out);
+		});
+		List<Thread> callers = new ArrayList<>();
+		for (int i = 0; i < PARALLEL_REQUESTS; i++) {
+			String id = "warm" + i;
+			callers.add(new Thread(() -> exchange("GET /again/" + id, id, "")));
+		}
+		callers.forEach(Thread::start);
+		for (Thread caller : callers) {
+			caller.join();
+		}
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			long received = worker.received()
+				.stream()
+				.filter((request) -> request.header("Request-Id").startsWith("warm"))
+				.count();
+			Assert.assertTrue(received >= 2, received + " requests in parallel at " + worker.id());
+		}
+	}
+
 	private void keepTwoConnections() throws IOException {
 		try (CallerStandIn first = new CallerStandIn(this.callerAddress);
 				CallerStandIn second = new CallerStandIn(this.callerAddress)) {
