The soak has answers without a length too

Change: some answers of the endpoints that stutter end with their connection, so that the status check takes part in the soak.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterSoakTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStutterSoakTests.java
@@ -184,7 +184,13 @@
 			else {
 				String body = "body of " + id + " by " + worker.id() + " " + "x".repeat(random.nextInt(200));
 				Run run = addRun(id, new Run(200, stamp(id, worker), body));
-				write(run, id, "text/plain", random, out);
+				if (choice == 8) {
+					out.write(head(run, id, random, "Content-Type: text/plain", "Connection: close") + run.body);
+					out.close();
+				}
+				else {
+					write(run, id, "text/plain", random, out);
+				}
 			}
 		}
 	}
