Requests are held back only if their crashes stand out against what was served

Retry-After said 60 s while 600 s were left.

Cause: the relay counted a crash against each request that was running at the endpoint and quarantined a fingerprint at the second, without asking anybody for answers that survived, and nothing ended a quarantine.

Change: the relay leaves the decision to the investigation, which asks all instances. HarmCriterion says how many crashes in a row stand out against the number of answers that survived in the same time, and for how long. Entries of the crash registry keep the crashes themselves and when the latest answer began that survived; they are merged in any order with the same result, so one instance that knows better ends a refusal everywhere, also when it was cut off when the verdict was given. After its time one crash in the same row begins the refusal again. Fingerprints are refuted by whole answers, parts by answers that went on for a second; a request whose endpoint is lost later than that is reported too. Only causes that the instances were asked about are found. Retry-After is the time that is left.

CrashRegistryTests.suspectThatCompletesIsCleared uses recordSurvivor, which replaces clear; MessageCodecTests compares the new components too.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
@@ -7,15 +7,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds the requests and the parts of prompts that crash endpoints.
  * <p>
  * A crash is evidence against each request that may have caused it and the parts of its
  * prompt. An answer with a possible cause that began after a crash and survived refutes
- * all earlier evidence against it. Crashes that a found cause explains are no evidence
- * against others. Crashes in quick succession count once, because one outage can end many
+ * all earlier evidence against it, and what was served well before needs more evidence
+ * ({@link HarmCriterion}). Crashes that a found cause explains are no evidence against
+ * others. Crashes in quick succession count once, because one outage can end many
  * endpoints. This class is thread-safe; one lock guards its tables.
  */
 public final class CrashAttribution {
@@ -25,14 +26,13 @@
 	/** Required if another cause was present at the same crashes, or answers preceded. */
 	private static final int MIN_CRASHES_IF_UNCERTAIN = 5;
 
-	/** Crashes of one outage are noticed within this time. */
-	private static final long MIN_SPACING_MILLIS = 150;
-
 	/** Leaves endpoints time to begin answers that refute the evidence. */
 	private static final long MIN_OBSERVATION_MILLIS = 700;
 
 	private static final long MIN_OBSERVATION_IF_UNCERTAIN_MILLIS = 2_000;
 
+	private static final int MAX_SUSPECTS = 50;
+
 	private static final int MAX_CAUSES = 10_000;
 
 	private static final int MAX_EXPLAINED_CRASHES = 1_000;
@@ -43,7 +43,7 @@
 
 	private final Map<String, Boolean> explainedCrashes = newLimitedMap(MAX_EXPLAINED_CRASHES);
 
-	private final Map<String, Long> foundMillis = new HashMap<>();
+	private final Map<String, Verdict> found = new HashMap<>();
 
 	private static <T> Map<String, T> newLimitedMap(int maxSize) {
 		return new LinkedHashMap<>() {
@@ -66,7 +66,7 @@
 	 * @param crashMillis when the endpoint crashed, in milliseconds since the epoch
 	 */
 	public synchronized void recordCrash(String crashId, String request, Collection<String> parts, long crashMillis) {
-		if (this.foundMillis.containsKey(request) || parts.stream().anyMatch(this.foundMillis::containsKey)) {
+		if (this.found.containsKey(request) || parts.stream().anyMatch(this.found::containsKey)) {
 			explain(crashId);
 		}
 		if (this.explainedCrashes.containsKey(crashId)) {
@@ -90,11 +90,24 @@
 		}
 	}
 
+	/**
+	 * Records how often requests with a possible cause were served well.
+	 * @param cause the request's fingerprint or a part
+	 * @param served the number of answers at all instances, in the time for which
+	 * evidence is kept
+	 */
+	public synchronized void recordServed(String cause, long served) {
+		Evidence evidence = this.evidenceByCause.get(cause);
+		if (evidence != null) {
+			evidence.served = Math.max(evidence.served, served);
+		}
+	}
+
 	/**
 	 * Returns the causes that are suspected strongly enough to ask all instances for
 	 * answers with them that survived.
 	 * @param nowMillis the time in milliseconds since the epoch
-	 * @return the causes, those with the most crashes first
+	 * @return at most 50 causes, those with the most crashes first
 	 */
 	public synchronized List<String> suspects(long nowMillis) {
 		List<String> suspects = new ArrayList<>();
@@ -104,7 +117,7 @@
 			}
 		});
 		suspects.sort(Comparator.comparing((String cause) -> -this.evidenceByCause.get(cause).crashes()));
-		return suspects;
+		return (suspects.size() <= MAX_SUSPECTS) ? suspects : List.copyOf(suspects.subList(0, MAX_SUSPECTS));
 	}
 
 	/**
@@ -114,19 +127,36 @@
 	 * @return the causes found, usually none
 	 */
 	public synchronized List<String> decide(long nowMillis) {
-		List<String> decided = new ArrayList<>();
-		for (String suspect : suspects(nowMillis)) {
+		return decide(suspects(nowMillis), nowMillis);
+	}
+
+	/**
+	 * Decides which of the suspects that the instances were asked about crash endpoints.
+	 * The crashes at which they were present are removed from the evidence against
+	 * others.
+	 * @param asked the suspects that the instances were asked about
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the causes found, usually none
+	 */
+	public synchronized List<String> decide(Collection<String> asked, long nowMillis) {
+		Map<String, Verdict> decided = new LinkedHashMap<>();
+		for (String suspect : asked) {
 			Evidence evidence = this.evidenceByCause.get(suspect);
-			if (evidence.separateCrashes() >= MIN_CRASHES && isCause(suspect, evidence, nowMillis)) {
-				decided.add(suspect);
+			if (evidence != null && isCause(suspect, evidence, nowMillis)) {
+				decided.put(suspect, evidence.verdict(nowMillis));
 			}
 		}
-		decided.forEach((cause) -> close(cause, nowMillis));
-		return decided;
+		decided.forEach(this::close);
+		return List.copyOf(decided.keySet());
 	}
 
 	private boolean isCause(String suspect, Evidence evidence, long nowMillis) {
-		if (evidence.separateCrashes() >= MIN_CRASHES_IF_UNCERTAIN
+		int crashes = evidence.separateCrashes();
+		int required = Math.max(MIN_CRASHES, HarmCriterion.requiredCrashes(evidence.served));
+		if (crashes < required) {
+			return false;
+		}
+		if (crashes >= MIN_CRASHES_IF_UNCERTAIN
 				&& evidence.ageMillis(nowMillis) >= MIN_OBSERVATION_IF_UNCERTAIN_MILLIS) {
 			return true;
 		}
@@ -147,12 +177,28 @@
 	}
 
 	// Later crashes at which the cause was present are explained by it.
-	private void close(String cause, long nowMillis) {
-		Evidence evidence = this.evidenceByCause.remove(cause);
-		this.foundMillis.put(cause, nowMillis);
-		if (evidence != null) {
-			evidence.crashIds().forEach(this::explain);
-		}
+	private void close(String cause, Verdict verdict) {
+		this.evidenceByCause.remove(cause);
+		this.found.put(cause, verdict);
+		verdict.crashes().forEach((crash) -> explain(crash.crashId()));
+	}
+
+	/**
+	 * Returns the evidence by which a cause was found.
+	 * @param cause a cause that {@link #decide} has returned and that is not forgotten
+	 * @return the evidence
+	 */
+	public synchronized Verdict verdict(String cause) {
+		return this.found.get(cause);
+	}
+
+	/**
+	 * Forgets causes that were found, so that crashes at which they are present are
+	 * evidence again.
+	 * @param isSound whether answers speak against a cause
+	 */
+	public synchronized void forgetFound(Predicate<String> isSound) {
+		this.found.keySet().removeIf(isSound);
 	}
 
 	private void explain(String crashId) {
@@ -174,10 +220,22 @@
 	 * before it are forgotten, in milliseconds since the epoch
 	 */
 	public synchronized void expire(long oldestMillis) {
-		this.foundMillis.values().removeIf((millis) -> millis < oldestMillis);
+		this.found.values().removeIf((verdict) -> verdict.foundMillis() < oldestMillis);
 		this.evidenceByCause.values().removeIf((evidence) -> evidence.expire(oldestMillis));
 	}
 
+	/**
+	 * The evidence by which a cause was found.
+	 *
+	 * @param crashes the crashes at which it was present since the last answer that
+	 * survived
+	 * @param served how often requests with it were served well in the time for which
+	 * evidence is kept
+	 * @param foundMillis when it was found, in milliseconds since the epoch
+	 */
+	public record Verdict(List<CrashRegistry.Occurrence> crashes, long served, long foundMillis) {
+	}
+
 	/**
 	 * The crashes that speak against one cause. It is not thread-safe; the attribution's
 	 * lock guards it.
@@ -190,6 +248,8 @@
 
 		private long survivorMillis = NEVER;
 
+		private long served;
+
 		Evidence(boolean isRequest) {
 			this.isRequest = isRequest;
 		}
@@ -215,10 +275,6 @@
 			return this.millisByCrash.isEmpty();
 		}
 
-		Set<String> crashIds() {
-			return Set.copyOf(this.millisByCrash.keySet());
-		}
-
 		int crashes() {
 			return this.millisByCrash.size();
 		}
@@ -232,15 +288,18 @@
 		}
 
 		int separateCrashes() {
-			int count = 0;
-			long lastMillis = NEVER;
-			for (long millis : this.millisByCrash.values().stream().sorted().toList()) {
-				if (lastMillis == NEVER || millis - lastMillis >= MIN_SPACING_MILLIS) {
-					count++;
-					lastMillis = millis;
-				}
-			}
-			return count;
+			return CrashRegistry.Occurrence.countSeparate(occurrences());
+		}
+
+		Verdict verdict(long nowMillis) {
+			return new Verdict(occurrences(), this.served, nowMillis);
+		}
+
+		private List<CrashRegistry.Occurrence> occurrences() {
+			return this.millisByCrash.entrySet()
+				.stream()
+				.map((entry) -> new CrashRegistry.Occurrence(entry.getKey(), entry.getValue()))
+				.toList();
 		}
 
 	}
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
@@ -145,4 +145,37 @@
 		}
 	}
 
+	@Test
+	public void whatWasServedHundredsOfTimesNeedsCrashesThatStandOut() {
+		for (int i = 0; i < 14; i++) {
+			crash(300 * i, "shared");
+		}
+		this.attribution.recordServed("shared", 300);
+		Assert.assertEquals(this.attribution.decide(10_000), List.of());
+		crash(4_200, "shared");
+		Assert.assertEquals(this.attribution.decide(10_000), List.of("shared"));
+		Assert.assertEquals(this.attribution.verdict("shared").served(), 300);
+		Assert.assertEquals(this.attribution.verdict("shared").crashes().size(), 15);
+	}
+
+	@Test
+	public void crashesAreEvidenceAgainWhenAFoundPartHasProvedSound() {
+		for (int round = 0; round < 2; round++) {
+			for (int i = 0; i < 3; i++) {
+				crash(1_000 * round + 300 * i, "part");
+			}
+			Assert.assertEquals(this.attribution.decide(1_000 * round + 900), List.of("part"));
+			this.attribution.forgetFound((cause) -> true);
+		}
+	}
+
+	@Test
+	public void onlyCausesThatTheInstancesWereAskedAboutAreFound() {
+		for (int i = 0; i < 3; i++) {
+			crash(300 * i, "bad");
+		}
+		Assert.assertEquals(this.attribution.decide(List.of("other"), 1_000), List.of());
+		Assert.assertEquals(this.attribution.decide(List.of("bad"), 1_000), List.of("bad"));
+	}
+
 }
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/SurvivedAnswersTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/SurvivedAnswersTests.java
@@ -33,4 +33,16 @@
 		Assert.assertTrue(this.answers.lastBeginMillis("part-0").isEmpty());
 	}
 
+	@Test
+	public void countsTheAnswersOfTheLastMinutes() {
+		SurvivedAnswers counted = new SurvivedAnswers();
+		for (int i = 0; i < 300; i++) {
+			counted.record(List.of("a"), 1_000 * i);
+		}
+		Assert.assertEquals(counted.count("a", 300_000), 300);
+		Assert.assertEquals(counted.count("a", 599_999), 300);
+		Assert.assertEquals(counted.count("a", 600_000), 0);
+		Assert.assertEquals(counted.count("b", 300_000), 0);
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/CrashInvestigation.java
@@ -1,8 +1,11 @@
 package org.poplarloom.entry.process;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,8 +25,9 @@
  * An instance that loses an endpoint reports the fingerprints and the shared parts of its
  * requests there, the possible causes, to all homes. A home that suspects one asks all
  * instances for answers to it that survived; a cause that is found is quarantined in the
- * crash registry, which spreads by gossip. This class is thread-safe and holds no lock
- * while it sends.
+ * crash registry, which spreads by gossip. An instance that knows of a later answer that
+ * survived ends the quarantine in the same way. This class is thread-safe and holds no
+ * lock while it sends.
  */
 public final class CrashInvestigation {
 
@@ -34,8 +38,6 @@
 
 	private static final long QUERY_TIMEOUT_MILLIS = 300;
 
-	private static final int MAX_QUERIED_CAUSES = 50;
-
 	private static final long EVIDENCE_RETENTION_MILLIS = 600_000;
 
 	private static final long UNKNOWN_AGE = -1;
@@ -54,8 +56,6 @@
 
 	private final CrashAttribution attribution = new CrashAttribution();
 
-	private final SurvivedAnswers survivedAnswers = new SurvivedAnswers();
-
 	private final AtomicBoolean queryInProgress = new AtomicBoolean();
 
 	CrashInvestigation(MembershipTable membership, InstanceView instances, CrashRegistry crashes, Gossiper gossiper,
@@ -93,7 +93,10 @@
 	 * @param beginMillis when the answer began, in milliseconds since the epoch
 	 */
 	public void recordSurvivor(List<String> possibleCauses, long beginMillis) {
-		this.survivedAnswers.record(possibleCauses, beginMillis);
+		if (this.crashes.recordSurvivor(possibleCauses, beginMillis)) {
+			logger.info("event=survived causes={}", possibleCauses);
+			this.gossiper.broadcast();
+		}
 	}
 
 	/**
@@ -102,20 +105,50 @@
 	 * @return true if requests with it must not be sent
 	 */
 	public boolean isHarmful(String cause) {
-		return this.crashes.status(cause, this.clock.nowMillis()) == CrashRegistry.Status.QUARANTINED;
+		return remainingMillis(cause) > 0;
+	}
+
+	/**
+	 * Returns how long requests with a cause must not be sent.
+	 * @param cause the cause
+	 * @return the time that is left in milliseconds, 0 if they may be sent
+	 */
+	public long remainingMillis(String cause) {
+		return this.crashes.quarantineMillis(cause, this.clock.nowMillis());
 	}
 
 	void receive(Message.CrashReport report) {
-		this.attribution.recordCrash(report.crashId(), report.request(), report.parts(), this.clock.nowMillis());
+		long now = this.clock.nowMillis();
+		this.attribution.forgetFound((cause) -> !this.crashes.standsOut(cause));
+		this.attribution.recordCrash(report.crashId(), report.request(), report.parts(), now);
+		Stream.concat(Stream.of(report.request()), report.parts().stream())
+			.filter(this.crashes::standsOut)
+			.forEach((cause) -> recordRenewedCrash(cause, report.crashId(), now));
+	}
+
+	// After its time a quarantine begins again with the next crash.
+	private void recordRenewedCrash(String cause, String crashId, long nowMillis) {
+		boolean isOver = this.crashes.quarantineMillis(cause, nowMillis) == 0;
+		this.crashes.recordCrashes(cause, List.of(new CrashRegistry.Occurrence(crashId, nowMillis)), 0, nowMillis);
+		if (isOver && this.crashes.quarantineMillis(cause, nowMillis) > 0) {
+			logger.warn("event=harmful_again cause=\"{}\" crash={}", cause, crashId);
+			this.gossiper.broadcast();
+		}
 	}
 
 	Message receive(Message.SurvivalQuery query) {
 		long now = this.clock.nowMillis();
-		return new Message.SurvivalReply(query.causes()
+		SurvivedAnswers answers = this.crashes.survivedAnswers();
+		List<Message.SurvivalReply.Age> ages = query.causes()
 			.stream()
-			.map(this.survivedAnswers::lastBeginMillis)
+			.map(answers::lastBeginMillis)
 			.map((begin) -> new Message.SurvivalReply.Age(begin.isPresent() ? now - begin.getAsLong() : UNKNOWN_AGE))
-			.toList());
+			.toList();
+		return new Message.SurvivalReply(ages,
+				query.causes()
+					.stream()
+					.map((cause) -> new Message.SurvivalReply.Count(answers.count(cause, now)))
+					.toList());
 	}
 
 	/**
@@ -128,27 +161,29 @@
 		}
 		long now = this.clock.nowMillis();
 		this.attribution.expire(now - EVIDENCE_RETENTION_MILLIS);
-		List<String> suspects = this.attribution.suspects(now).stream().limit(MAX_QUERIED_CAUSES).toList();
+		List<String> suspects = this.attribution.suspects(now);
 		if (!suspects.isEmpty() && this.queryInProgress.compareAndSet(false, true)) {
 			queryAll(suspects).whenComplete((done, failure) -> {
 				this.queryInProgress.set(false);
-				decide();
+				decide(suspects);
 			});
 		}
 	}
 
 	private CompletableFuture<Void> queryAll(List<String> suspects) {
 		Message query = new Message.SurvivalQuery(suspects);
+		Map<String, Long> served = new ConcurrentHashMap<>();
 		return CompletableFuture.allOf(this.instances.all()
 			.stream()
 			.map((instance) -> this.peers.request(instance.id(), instance.address(), query, QUERY_TIMEOUT_MILLIS)
 				.handle((reply, failure) -> {
 					if (reply instanceof Message.SurvivalReply survival) {
 						recordSurvivors(suspects, survival);
+						addServed(suspects, survival, served);
 					}
 					return null;
 				}))
-			.toArray(CompletableFuture[]::new));
+			.toArray(CompletableFuture[]::new)).thenRun(() -> served.forEach(this.attribution::recordServed));
 	}
 
 	private void recordSurvivors(List<String> suspects, Message.SurvivalReply reply) {
@@ -161,14 +196,25 @@
 		}
 	}
 
-	private void decide() {
+	private static void addServed(List<String> suspects, Message.SurvivalReply reply, Map<String, Long> served) {
+		for (int i = 0; i < Math.min(suspects.size(), reply.counts().size()); i++) {
+			served.merge(suspects.get(i), reply.counts().get(i).value(), Long::sum);
+		}
+	}
+
+	private void decide(List<String> suspects) {
 		long now = this.clock.nowMillis();
-		List<String> harmful = this.attribution.decide(now);
+		List<String> harmful = this.attribution.decide(suspects, now);
 		if (!harmful.isEmpty()) {
-			logger.warn("event=harmful causes={}", harmful);
-			harmful.forEach((cause) -> this.crashes.quarantine(cause, now));
+			harmful.forEach((cause) -> quarantine(cause, this.attribution.verdict(cause), now));
 			this.gossiper.broadcast();
 		}
 	}
 
+	private void quarantine(String cause, CrashAttribution.Verdict verdict, long nowMillis) {
+		logger.warn("event=harmful causes=[{}] crashes={} served={}", cause, verdict.crashes().size(),
+				verdict.served());
+		this.crashes.recordCrashes(cause, verdict.crashes(), verdict.served(), nowMillis);
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -280,7 +280,9 @@
 		boolean isNew = isLocalZone(sender.zone()) && !this.membership.isKnown(sender);
 		this.membership.mergeMembers(gossip.members(), now);
 		this.membership.mergeShards(gossip.shards(), now);
-		this.crashes.merge(gossip.crashes());
+		if (this.crashes.merge(gossip.crashes(), now)) {
+			broadcast();
+		}
 		if (!gossip.zoneCommands().isEmpty()) {
 			this.activeConfiguration.applyZoneCommands(
 					gossip.zoneCommands().stream().map((json) -> Documents.read(json, ZoneCommand.class)).toList());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -38,7 +38,10 @@
 
 	private static final int PRIORITY_PER_RANK = 5;
 
-	/** An endpoint that a request crashes ends within this time after the first byte. */
+	/**
+	 * An endpoint that a part of a prompt crashes ends within this time after the first
+	 * byte.
+	 */
 	private static final long SURVIVAL_MILLIS = 1_000;
 
 	private final RelayRun run;
@@ -185,15 +188,13 @@
 	private void recordSurvival() {
 		if (!this.survivedBeginning) {
 			this.survivedBeginning = true;
-			this.run.service()
-				.crashInvestigation()
-				.recordSurvivor(this.run.possibleCrashCauses(), this.firstByteMillis);
+			this.run.service().crashInvestigation().recordSurvivor(this.run.possiblePartCauses(), this.firstByteMillis);
 		}
 	}
 
 	/**
 	 * Returns whether the answer continued so long after its beginning that the endpoint
-	 * cannot have crashed because of it.
+	 * cannot have crashed because of a part of the prompt.
 	 * @return false if the endpoint may have begun to answer shortly before it failed
 	 */
 	boolean hasSurvivedBeginning() {
@@ -252,6 +253,9 @@
 	private void completeAnswer() {
 		if (this.firstByteReceived) {
 			recordSurvival();
+			this.run.service()
+				.crashInvestigation()
+				.recordSurvivor(List.of(this.run.fingerprint()), this.firstByteMillis);
 		}
 		release(null);
 		if (isStream()) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -35,12 +35,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayRun.class);
 
-	/**
-	 * After this delay the entry of a crashed endpoint has been removed or shows a
-	 * restart.
-	 */
-	private static final long CRASH_CHECK_DELAY_MILLIS = 6_000;
-
 	private static final long MIN_RETRY_AFTER_MILLIS = 500;
 
 	private static final long NOT_MEASURED = -1;
@@ -198,11 +192,9 @@
 			this.endpointFailure = failure;
 		}
 		if (failure.isConnectionLost()) {
-			scheduleCrashCheck(failed);
-			if (!failed.hasSurvivedBeginning()) {
-				this.service.crashInvestigation()
-					.report(failed.endpoint(), failed.bootId(), fingerprint(), possiblePartCauses());
-			}
+			this.service.crashInvestigation()
+				.report(failed.endpoint(), failed.bootId(), fingerprint(),
+						failed.hasSurvivedBeginning() ? List.of() : possiblePartCauses());
 		}
 		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable()
 				&& (!this.streamStarted || this.route.retryMode() == Route.RetryMode.RESUME));
@@ -218,14 +210,6 @@
 		}
 	}
 
-	private void scheduleCrashCheck(RelayAttempt lost) {
-		this.service.loop().schedule(() -> {
-			if (!this.service.entries().isSameProcess(lost.endpoint(), lost.bootId())) {
-				this.service.recordCrash(fingerprint(), lost.endpoint(), lost.bootId());
-			}
-		}, CRASH_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-	}
-
 	private void deadlinePassed() {
 		if (this.ended) {
 			return;
@@ -365,7 +349,7 @@
 	}
 
 	// Parts and fingerprints, which begin with a path, share one registry.
-	private List<String> possiblePartCauses() {
+	List<String> possiblePartCauses() {
 		return this.request.sharedParts().stream().map((part) -> "part " + part).toList();
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -6,7 +6,6 @@
 
 import io.netty.channel.EventLoop;
 
-import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
@@ -39,8 +38,6 @@
 	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
 	/** The quarantine outlasts it; an earlier repetition would only be refused again. */
-	private static final long HARMFUL_RETRY_AFTER_MILLIS = 60_000;
-
 	private final Node node;
 
 	private final ActiveRouting routing;
@@ -136,9 +133,10 @@
 	 */
 	void requireHarmless(RelayRun run) {
 		for (String cause : run.possibleCrashCauses()) {
-			if (crashInvestigation().isHarmful(cause)) {
+			long remainingMillis = crashInvestigation().remainingMillis(cause);
+			if (remainingMillis > 0) {
 				throw new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO, cause + " crashes endpoints",
-						HARMFUL_RETRY_AFTER_MILLIS);
+						remainingMillis);
 			}
 		}
 	}
@@ -192,17 +190,6 @@
 				(name) -> RetryBudget.shared(this.retryLimit.reserve(), this.entries::instanceCount));
 	}
 
-	/**
-	 * Records that an endpoint crashed while it ran a request, and gossips it.
-	 * @param fingerprint identifies the request; the same for all its repetitions
-	 * @param endpoint the endpoint
-	 * @param bootId the boot ID of the endpoint's process that crashed
-	 */
-	void recordCrash(String fingerprint, EndpointId endpoint, String bootId) {
-		this.node.crashes().recordCrash(fingerprint, endpoint, bootId, nowMillis());
-		this.node.gossiper().broadcastAndConfirm().subscribe();
-	}
-
 	/**
 	 * The retries that a service bears from all instances together.
 	 *
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.opentelemetry.api.trace.Span;
@@ -87,9 +88,11 @@
 
 	private void admit(ChatRequest request) {
 		long now = this.node.clock().nowMillis();
-		if (this.node.crashes().status(request.fingerprint(), now) == CrashRegistry.Status.QUARANTINED) {
-			throw new PoplarloomException(ErrorCode.QUARANTINED,
-					"requests with this content have crashed endpoints and are quarantined for a limited time");
+		long quarantineMillis = this.node.crashes().quarantineMillis(request.fingerprint(), now);
+		if (quarantineMillis > 0) {
+			throw new PoplarloomException(ErrorCode.QUARANTINED, Executed.NO,
+					"requests with this content have crashed endpoints and are quarantined for a limited time",
+					quarantineMillis);
 		}
 		TeamLimiter limiter = this.limits.limiter(request.contract());
 		limiter.admit(request.admittedTokens(), now).ifPresent((refusal) -> {
@@ -119,6 +122,8 @@
 
 		private long usedTokens;
 
+		private long attemptStartedMillis;
+
 		private boolean sent;
 
 		private final Span span;
@@ -154,6 +159,7 @@
 
 		private Flux<EngineEvent> stream(HeldGrant held) {
 			this.sent = true;
+			this.attemptStartedMillis = ChatService.this.node.clock().nowMillis();
 			this.lastGrant = held;
 			AnswerSequence sequence = AnswerSequence.of(this.request.id(), this.attemptNumber, this.deliveredTokens);
 			Span endpointSpan = ChatService.this.node.tracing().start("endpoint", Tracing.traceParent(this.span));
@@ -209,7 +215,8 @@
 				.ledger(UsagePage.Kind.CALLER)
 				.add(ChatService.this.node.usagePublisher().writer(), usageKey(held.grant().answeringEndpoint()),
 						new UsageLedger.Totals(1, last.promptTokens(), last.answerTokens()));
-			ChatService.this.node.crashes().clear(this.request.fingerprint());
+			ChatService.this.node.crashInvestigation()
+				.recordSurvivor(List.of(this.request.fingerprint()), this.attemptStartedMillis);
 		}
 
 		private Flux<EngineEvent> handleFailure(Throwable failure) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/CrashInvestigationTests.java
@@ -23,6 +23,10 @@
 
 	private static final String HARMFUL = "bad0cafe";
 
+	private static final String LOOKUP = "/again/shared#1f.0";
+
+	private static final long REFUSED_MILLIS = 600_000;
+
 	private SimulatedFleet fleet;
 
 	private int crashes;
@@ -107,4 +111,81 @@
 		Assert.assertEquals(instancesThatRefuse("system"), 0);
 	}
 
+	private void crashEndpointsDuringLookup(int count, long spacingMillis) {
+		for (int i = 0; i < count; i++) {
+			SimulatedFleet.Instance instance = this.fleet.instances().get(0);
+			instance.investigation().report(EndpointId.of("i-" + ++this.crashes), "1", LOOKUP, List.of());
+			this.fleet.advance(spacingMillis);
+		}
+	}
+
+	/**
+	 * Guards against the refusal of what hundreds of callers share, because the endpoints
+	 * of a service were lost one after the other and nothing was served meanwhile.
+	 */
+	@Test
+	public void whatWasServedHundredsOfTimesIsNotHarmfulByAnOutage() {
+		startFleet(13);
+		for (int i = 0; i < 300; i++) {
+			survive(LOOKUP);
+			this.fleet.advance(10);
+		}
+		crashEndpointsDuringLookup(10, 300);
+		this.fleet.advance(CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), 0);
+	}
+
+	/**
+	 * Guards against a refusal that goes on although instances that could not be asked
+	 * have served the request since.
+	 */
+	@Test
+	public void aRefusalEndsWhenACutOffZoneIsBackThatServedTheRequest() {
+		startFleet(14);
+		this.fleet.setSilent("norte-c", true);
+		crashEndpointsDuringLookup(5, 300);
+		this.fleet.advance(CONTACT_MILLIS);
+		Assert.assertTrue(instancesThatRefuse(LOOKUP) > 0, "no instance refuses the request");
+		SimulatedFleet.Instance cutOff = this.fleet.instances()
+			.stream()
+			.filter((instance) -> instance.zone().equals("norte-c"))
+			.findFirst()
+			.orElseThrow();
+		cutOff.investigation().recordSurvivor(List.of(LOOKUP), cutOff.nowMillis());
+		this.fleet.setSilent("norte-c", false);
+		this.fleet.advance(2 * CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), 0);
+	}
+
+	/**
+	 * Guards against a refusal that goes on although an answer that was on its way when
+	 * the request was found harmful has survived.
+	 */
+	@Test
+	public void aRefusalEndsWhenALaterAnswerSurvives() {
+		startFleet(15);
+		crashEndpointsDuringLookup(3, 300);
+		this.fleet.advance(CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), INSTANCES);
+		survive(LOOKUP);
+		this.fleet.advance(10);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), 0);
+	}
+
+	/**
+	 * Guards against a harmful request that crashes several endpoints again each time its
+	 * refusal ends.
+	 */
+	@Test
+	public void afterTheRefusalOneCrashSufficesForTheNext() {
+		startFleet(16);
+		crashEndpointsDuringLookup(3, 300);
+		this.fleet.advance(CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), INSTANCES);
+		this.fleet.advance(REFUSED_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), 0);
+		crashEndpointsDuringLookup(1, CONTACT_MILLIS);
+		Assert.assertEquals(instancesThatRefuse(LOOKUP), INSTANCES);
+	}
+
 }
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -146,8 +146,17 @@
 	 *
 	 * @param ages how long ago the last answer began that survived, for each cause in the
 	 * order of the query, in milliseconds, -1 if the sender knows none
+	 * @param counts how many answers survived in the last minutes, in the same order
 	 */
-	record SurvivalReply(List<Age> ages) implements Message {
+	record SurvivalReply(List<Age> ages, List<Count> counts) implements Message {
+
+		/**
+		 * A number of answers.
+		 *
+		 * @param value the number
+		 */
+		public record Count(long value) {
+		}
 
 		/**
 		 * An age.
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -61,8 +61,9 @@
 		return new Object[] { new Message.Challenge("n"), new Message.Hello(instance, "p", "n"),
 				new Message.Welcome(instance, "p"), new Message.Failure(ErrorCode.NOT_HOME, "t"),
 				new Message.Gossip(List.of(member), List.of(status), 8, 9, List.of("{}"),
-						List.of(new CrashRegistry.Crash("f", 1, "e@b", 10)), TablePosition.of(1, 11),
-						TablePosition.of(1, 12)),
+						List.of(new CrashRegistry.Crash("f", 1, "e@b", 10,
+								List.of(new CrashRegistry.Occurrence("e@b", 9)), 7, 8)),
+						TablePosition.of(1, 11), TablePosition.of(1, 12)),
 				new Message.ConfigurationFetch(3), new Message.ConfigurationContent("{}"),
 				new Message.AcquireGrant(SHARD, REQUEST, "00-1-2-01", 1_234, true),
 				new Message.GrantAcquired(GRANT, List.of("a"), List.of("b")),
@@ -74,8 +75,8 @@
 				new Message.TableContent("t", TablePosition.of(2, 9),
 						List.of(new Message.TableRecord("k", "v", TablePosition.of(1, 8)))),
 				new Message.CrashReport("e@b", "r", List.of("p")), new Message.SurvivalQuery(List.of("p", "q")),
-				new Message.SurvivalReply(
-						List.of(new Message.SurvivalReply.Age(-1), new Message.SurvivalReply.Age(20))),
+				new Message.SurvivalReply(List.of(new Message.SurvivalReply.Age(-1), new Message.SurvivalReply.Age(20)),
+						List.of(new Message.SurvivalReply.Count(0), new Message.SurvivalReply.Count(3))),
 				new Message.VersionQuery("p"), new Message.VersionReply(1, 2, true, 3),
 				new Message.Heartbeat(1, 2, 3, 4, List.of(new Message.ShardLoad(5, new HomeSummary(1, 2, 3, 4, true))),
 						TablePosition.of(0, 6), TablePosition.of(0, 7)) };
