A test: a request whose answers begin well is refused too if it crashes endpoints

Added: RelayHarmfulPartTests.aRequestThatCrashesEndpointsLateIsRefusedToo: the endpoint is lost 1.2 s after the first event, so parts are not suspected but the request is.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
@@ -32,6 +32,9 @@
 	/** The harmful requests that may still reach endpoints after that. */
 	private static final int MAX_LATE_REQUESTS = 3;
 
+	/** Three in a row, and those of the attempts that follow within a second. */
+	private static final int MAX_CRASHES_IN_A_ROW = 5;
+
 	private final AtomicInteger crashes = new AtomicInteger();
 
 	private void publishWorkers() {
@@ -132,4 +135,30 @@
 		Assert.assertTrue(exchange("POST /stream/x", "x", "Token-Count: 1000,10\r\n", "{}").startsWith("HTTP/1.1 200"));
 	}
 
+	/**
+	 * Guards against a request that goes on crashing endpoints because its answers begin
+	 * well.
+	 */
+	@Test
+	public void aRequestThatCrashesEndpointsLateIsRefusedToo() {
+		publishWorkers();
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				if (!request.requestLine().startsWith("POST /stream/late")) {
+					WorkerStandIn.STREAM_OF_ONE_EVENT.answer(request, out);
+					return;
+				}
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
+				pause(1_200);
+				out.write(out.event(2));
+				answerOrCrash(worker, request, out);
+			});
+		}
+		await(() -> exchange("POST /stream/late", "late",
+				"Token-Count: 1000,10\r\nPrompt-Prefix: " + HARMFUL + ":900\r\n", "{}")
+			.contains("crashes endpoints"));
+		Assert.assertTrue(this.crashes.get() <= MAX_CRASHES_IN_A_ROW, this.crashes + " endpoints crashed");
+		Assert.assertTrue(isSoundServed("afterwards"), "a request without the harmful part was not served");
+	}
+
 }
