--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -9,6 +9,7 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.MemoryBudget;
 import org.poplarloom.core.process.RetryBudget;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
@@ -50,6 +51,8 @@
 
 	private final EventLoop loop;
 
+	private final MemoryBudget memory;
+
 	private final RetryLimit retryLimit;
 
 	private final RelayMetrics metrics = new RelayMetrics();
@@ -66,16 +69,18 @@
 	 * @param exchanger the HTTP client for endpoints
 	 * @param protocol the wire format of endpoints
 	 * @param loop the event loop
+	 * @param memory limits the memory that requests and answers hold
 	 * @param retryLimit the retries that a service bears
 	 */
 	public RelayService(Node node, ActiveRouting routing, PublishedEntries entries, HttpExchanger exchanger,
-			EndpointProtocol protocol, EventLoop loop, RetryLimit retryLimit) {
+			EndpointProtocol protocol, EventLoop loop, MemoryBudget memory, RetryLimit retryLimit) {
 		this.node = node;
 		this.routing = routing;
 		this.entries = entries;
 		this.exchanger = exchanger;
 		this.protocol = protocol;
 		this.loop = loop;
+		this.memory = memory;
 		this.retryLimit = retryLimit;
 	}
 
@@ -165,6 +170,10 @@
 		return this.entries;
 	}
 
+	MemoryBudget memory() {
+		return this.memory;
+	}
+
 	HttpExchanger exchanger() {
 		return this.exchanger;
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -16,7 +16,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * An HTTP client that reports each step of an exchange to a listener.
@@ -43,12 +44,19 @@
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
+	static final HttpDecoderConfig DECODER_LIMITS = new HttpDecoderConfig()
+		.setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+		.setMaxHeaderSize(MAX_HEADER_BYTES)
+		.setMaxChunkSize(MAX_CHUNK_BYTES);
+
 	private final EventLoop loop;
 
 	private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
 
 	private long openedConnections;
 
+	private long connectionsWithUnexpectedData;
+
 	public HttpExchanger(EventLoop loop) {
 		this.loop = loop;
 		loop.scheduleWithFixedDelay(this::closeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
@@ -67,7 +75,7 @@
 		if (idleConnection != null) {
 			return idleConnection.start(request, listener);
 		}
-		return open(address, request, listener);
+		return sendOnNewConnection(address, request, listener);
 	}
 
 	private HttpConnection takeIdle(String address) {
@@ -82,7 +90,15 @@
 		return null;
 	}
 
-	private Exchange open(String address, FullHttpRequest request, ExchangeListener listener) {
+	/**
+	 * Starts an exchange on a new connection, which cannot deliver the response to an
+	 * earlier request.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange sendOnNewConnection(String address, FullHttpRequest request, ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
 		int colon = address.lastIndexOf(':');
 		InetSocketAddress endpointAddress = new InetSocketAddress(address.substring(0, colon),
@@ -97,9 +113,7 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								connection);
+					channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
 				}
 
 			})
@@ -157,6 +171,18 @@
 		return this.openedConnections;
 	}
 
+	void countUnexpectedData() {
+		this.connectionsWithUnexpectedData++;
+	}
+
+	/**
+	 * Returns how many idle connections were closed because data arrived on them.
+	 * @return the count, from 0
+	 */
+	public long connectionsWithUnexpectedData() {
+		return this.connectionsWithUnexpectedData;
+	}
+
 	/**
 	 * An exchange in progress. Its methods are called on the event loop.
 	 */
