--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayHarmfulPartTests.java
@@ -132,4 +132,33 @@
 		Assert.assertTrue(exchange("POST /stream/x", "x", "Token-Count: 1000,10\r\n", "{}").startsWith("HTTP/1.1 200"));
 	}
 
+	/**
+	 * Guards against a request that goes on crashing endpoints because its answers begin
+	 * well.
+	 */
+	@Test
+	public void aRequestThatCrashesEndpointsLateIsRefusedToo() {
+		publishWorkers();
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				if (!request.requestLine().startsWith("POST /stream/late")) {
+					WorkerStandIn.STREAM_OF_ONE_EVENT.answer(request, out);
+					return;
+				}
+				int last = Integer.parseInt(request.headers().getOrDefault("Last-Event-Id", "0"));
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(last + 1));
+				pause(1_200);
+				out.write(out.event(last + 2));
+				answerOrCrash(worker, request, out);
+			});
+		}
+		int sent = 0;
+		while (!exchange("POST /stream/late", "late", "Token-Count: 1000,10\r\nPrompt-Prefix: " + HARMFUL + ":900\r\n",
+				"{}")
+			.contains("crashes endpoints")) {
+			Assert.assertTrue(++sent < 20, "endpoints were reached " + this.crashes + " times");
+		}
+		Assert.assertTrue(isSoundServed("afterwards"), "a request without the harmful part was not served");
+	}
+
 }
