Give each request that was read an answer at a planned stop

Cause: the end of admission refused new requests only; close() ended the event loop with all that was in progress. A response counted as ended as soon as it had been handed to Netty, written or not.

A request that is refused by its endpoint later is refused instead of queued again. Shortly before the end of the grace time what still runs gets 502, or the endpoint's error if there was one; a stream is broken off. A response counts until it is written. An idle instance stops admitting in the step that finds it idle, so that none is admitted between that and the end.

Not played yet: a soak of stops in turn over all instances of a zone.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -55,8 +56,13 @@
 	/** Part of the grace time that is reserved for the exit of the process. */
 	private static final long EXIT_RESERVE_MILLIS = 600;
 
+	/** Part of the exit reserve in which the last answers are written. */
+	private static final long LAST_ANSWERS_MILLIS = 200;
+
 	private static final long DRAIN_POLL_MILLIS = 100;
 
+	private static final long LAST_ANSWERS_POLL_MILLIS = 10;
+
 	private final PlatformSettings platform;
 
 	private final Settings settings;
@@ -187,9 +193,11 @@
 	 * Drains the instance and stops it once all requests in progress have ended or the
 	 * grace time is nearly over.
 	 * <p>
-	 * New requests are admitted during the first third of the grace time. An idle
-	 * instance continues for at least 3 s, unless the grace time is shorter, so that the
-	 * load balancer takes it out before it stops.
+	 * New requests are admitted during the first third of the grace time; those that no
+	 * endpoint has received by then are refused. An idle instance continues for at least
+	 * 3 s, unless the grace time is shorter, so that the load balancer takes it out
+	 * before it stops. Each request that was read gets an answer, except that a stream
+	 * that still runs at the end is broken off.
 	 */
 	public void stopGracefully() {
 		logger.info("event=stopping busy={}", this.callerServer.requestsInProgress());
@@ -200,22 +208,53 @@
 				TimeUnit.MILLISECONDS);
 		this.node.membership().startDraining();
 		this.node.gossiper().broadcast();
-		while (!isStopDue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))) {
-			try {
-				Thread.sleep(DRAIN_POLL_MILLIS);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				break;
-			}
+		boolean isInterrupted = false;
+		while (!isInterrupted && !isStopDue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))) {
+			isInterrupted = !sleep(DRAIN_POLL_MILLIS);
 		}
+		endRequests();
 		close();
 	}
 
 	private boolean isStopDue(long elapsedMillis) {
-		boolean isIdle = this.loop.submit(this.callerServer::requestsInProgress).syncUninterruptibly().getNow() == 0;
 		return elapsedMillis >= this.platform.graceMillis() - EXIT_RESERVE_MILLIS
-				|| (isIdle && elapsedMillis >= MIN_DRAIN_MILLIS);
+				|| (elapsedMillis >= MIN_DRAIN_MILLIS && onLoop(this::stopAdmittingIfIdle));
+	}
+
+	// In one step, so that no request is admitted between the check and the end.
+	private boolean stopAdmittingIfIdle() {
+		boolean isIdle = this.callerServer.requestsInProgress() == 0;
+		if (isIdle) {
+			this.relay.stopAdmitting();
+		}
+		return isIdle;
+	}
+
+	private void endRequests() {
+		onLoop(() -> {
+			this.relay.endRequests();
+			return true;
+		});
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MILLIS);
+		boolean isWritten = false;
+		while (!isWritten && System.nanoTime() < endNanos) {
+			isWritten = onLoop(() -> this.callerServer.requestsInProgress() == 0) || !sleep(LAST_ANSWERS_POLL_MILLIS);
+		}
+	}
+
+	private boolean onLoop(Callable<Boolean> task) {
+		return this.loop.submit(task).syncUninterruptibly().getNow();
+	}
+
+	private static boolean sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
 	}
 
 	@Override
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
@@ -76,6 +76,9 @@
 
 	private boolean busy;
 
+	/** Responses that have ended but have not been written to the socket completely. */
+	private int pendingWrites;
+
 	private boolean closing;
 
 	private ScheduledFuture<?> timer;
@@ -88,8 +91,12 @@
 		this.limits = limits;
 	}
 
+	/**
+	 * Returns whether a request is in progress or its response is still to be written.
+	 * @return false if the connection can be closed without the loss of a response
+	 */
 	boolean isBusy() {
-		return this.busy;
+		return this.busy || this.pendingWrites > 0;
 	}
 
 	@Override
@@ -231,7 +238,7 @@
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 		boolean isKeptOpen = setConnectionHeader(response);
 		finishRequest(isKeptOpen);
-		this.context.writeAndFlush(response).addListener((result) -> closeUnless(isKeptOpen && result.isSuccess()));
+		writeLast(response, isKeptOpen);
 	}
 
 	private boolean setConnectionHeader(HttpResponse response) {
@@ -252,6 +259,14 @@
 		}
 	}
 
+	private void writeLast(HttpObject message, boolean isKeptOpen) {
+		this.pendingWrites++;
+		this.context.writeAndFlush(message).addListener((result) -> {
+			this.pendingWrites--;
+			closeUnless(isKeptOpen && result.isSuccess());
+		});
+	}
+
 	private void closeUnless(boolean isKeptOpen) {
 		if (!isKeptOpen) {
 			this.context.close();
@@ -291,8 +306,7 @@
 	public void endStream() {
 		boolean isKeptOpen = this.keepAlive;
 		finishRequest(isKeptOpen);
-		this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-			.addListener((result) -> closeUnless(isKeptOpen && result.isSuccess()));
+		writeLast(LastHttpContent.EMPTY_LAST_CONTENT, isKeptOpen);
 	}
 
 	@Override
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
@@ -146,7 +146,8 @@
 	}
 
 	/**
-	 * Returns the number of requests in progress.
+	 * Returns the number of requests in progress, including those whose response is not
+	 * written completely.
 	 * @return the number, 0 or more
 	 */
 	public long requestsInProgress() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -355,6 +355,14 @@
 		this.endpoints.release(unreachable);
 	}
 
+	/**
+	 * Returns whether the request was sent to the endpoint.
+	 * @return false while helpers reserve memory
+	 */
+	boolean isSent() {
+		return this.exchange != null;
+	}
+
 	void cancel() {
 		if (!this.ended) {
 			if (this.exchange != null) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -120,6 +120,10 @@
 	}
 
 	private void acquireGrant() {
+		if (!this.mayHaveRun && !this.service.isAdmitting()) {
+			sendRefusal(RelayService.shuttingDown());
+			return;
+		}
 		long attemptStartedMillis = (this.attemptCount == 0) ? this.startedMillis : this.service.nowMillis();
 		LatencyTarget latencyTarget = GrantSearch.Criteria.latencyTarget(this.route, attemptStartedMillis,
 				this.deadlineMillis);
@@ -267,6 +271,34 @@
 		}
 	}
 
+	/**
+	 * Refuses the request if no endpoint can have received it, whatever it waits for;
+	 * does nothing otherwise or after the end.
+	 */
+	void refuseIfWaiting() {
+		boolean isSent = this.attempt != null && this.attempt.isSent();
+		if (!this.ended && !this.mayHaveRun && !isSent) {
+			cancelAttempt();
+			sendRefusal(RelayService.shuttingDown());
+		}
+	}
+
+	/**
+	 * Ends the request because the process ends; does nothing after the end.
+	 */
+	void endAtShutdown() {
+		if (this.ended) {
+			return;
+		}
+		cancelAttempt();
+		if (this.streamStarted) {
+			abort(ErrorCode.SHUTTING_DOWN.text());
+		}
+		else {
+			sendFailure(new PoplarloomException(ErrorCode.SHUTTING_DOWN, "the instance stops before the answer"));
+		}
+	}
+
 	void refuse(PoplarloomException failure) {
 		sendRefusal(failure);
 	}
@@ -325,6 +357,7 @@
 
 	private void complete(String outcome, String detail) {
 		this.ended = true;
+		this.service.remove(this);
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel(false);
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -1,8 +1,11 @@
 package org.poplarloom.entry.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.channel.EventLoop;
 
@@ -59,6 +62,8 @@
 
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
+	private final Set<RelayRun> runs = new HashSet<>();
+
 	private boolean admitting = true;
 
 	/**
@@ -99,6 +104,7 @@
 						"no route for '" + request.host() + request.path() + "'"));
 			Optional<RoutingTable.Team> team = team(table, route, request);
 			requireHarmless(run);
+			this.runs.add(run);
 			run.start(table, route, team.orElse(null));
 			return run;
 		}
@@ -110,16 +116,39 @@
 
 	private void requireAdmitting() {
 		if (!this.admitting) {
-			throw new PoplarloomException(ErrorCode.SHUTTING_DOWN, Executed.NO, "the instance is about to stop",
-					SHUTDOWN_RETRY_AFTER_MILLIS);
+			throw shuttingDown();
 		}
 	}
 
+	static PoplarloomException shuttingDown() {
+		return new PoplarloomException(ErrorCode.SHUTTING_DOWN, Executed.NO, "the instance is about to stop",
+				SHUTDOWN_RETRY_AFTER_MILLIS);
+	}
+
 	/**
-	 * Refuses all new requests; those in progress continue.
+	 * Refuses all new requests and those that no endpoint has received yet, which another
+	 * instance can serve in time; the others continue.
 	 */
 	public void stopAdmitting() {
 		this.admitting = false;
+		List.copyOf(this.runs).forEach(RelayRun::refuseIfWaiting);
+	}
+
+	boolean isAdmitting() {
+		return this.admitting;
+	}
+
+	/**
+	 * Ends all requests in progress, since the process ends. Each one gets an answer,
+	 * except that a stream is broken off.
+	 */
+	public void endRequests() {
+		stopAdmitting();
+		List.copyOf(this.runs).forEach(RelayRun::endAtShutdown);
+	}
+
+	void remove(RelayRun ended) {
+		this.runs.remove(ended);
 	}
 
 	private static Optional<RoutingTable.Team> team(RoutingTable table, Route route, RelayRequest request) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -55,7 +55,7 @@
 		this.firstWorker = new WorkerStandIn("i-1");
 		this.secondWorker = new WorkerStandIn("i-2");
 		PlatformSettings platform = new PlatformSettings("edge-1", "norte-a", "127.0.0.1", ANY_PORT, ANY_PORT, 0,
-				this.store.address(), List.of(), 3_000, 0.2, 20, 0);
+				this.store.address(), List.of(), graceMillis(), 0.2, 20, 0);
 		Settings settings = new Settings(InstanceId.of("edge-1"), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
 				this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1, new ColdStartRamp.Settings(4, 1, 1), 0,
 				2_000, OwnerKey.none(), "none", 0);
@@ -63,6 +63,14 @@
 		this.callerAddress = this.daemon.callerAddress();
 	}
 
+	/**
+	 * Returns the grace time of a planned stop.
+	 * @return milliseconds
+	 */
+	long graceMillis() {
+		return 3_000;
+	}
+
 	@AfterMethod(alwaysRun = true)
 	public void stop() throws IOException {
 		this.daemon.close();
--- /dev/null
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayPlannedStopTests.java
@@ -0,0 +1,155 @@
+package org.poplarloom.entry.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+import org.poplarloom.platform.standin.CallerStandIn;
+
+/**
+ * Tests of a planned stop while requests wait, run or are answered.
+ * <p>
+ * A request that was read must get an answer: that of its endpoint, or a refusal that
+ * says whether it may have run, so that the caller can send it to another instance.
+ */
+public class RelayPlannedStopTests extends RelayFixture {
+
+	private static final long GRACE_MILLIS = 5_000;
+
+	/** The instance admits requests for a third of the grace time. */
+	private static final long AFTER_ADMISSION_MILLIS = 2_000;
+
+	/** An idle instance ends after 3 s. */
+	private static final long AFTER_IDLE_END_MILLIS = 3_600;
+
+	/** The number of slots in the entry of the worker stand-in. */
+	private static final int SLOTS = 4;
+
+	private static final int WAITING = 8;
+
+	/** Fails a test whose connections are neither answered nor closed. */
+	private static final long MAX_TEST_MILLIS = 20_000;
+
+	@Override
+	long graceMillis() {
+		return GRACE_MILLIS;
+	}
+
+	private void publishLongTimeouts(String service, String... states) {
+		publish(CallerStandIn.configuration(3, "model", "app").replace("\"timeoutMs\":2000", "\"timeoutMs\":18000"),
+				service, states);
+	}
+
+	private Thread stopInBackground() {
+		Thread stop = new Thread(this.daemon::stopGracefully, "stop");
+		stop.start();
+		return stop;
+	}
+
+	private CallerStandIn send(String methodAndPath, String id) throws IOException {
+		CallerStandIn caller = new CallerStandIn(this.callerAddress);
+		caller.send(methodAndPath, id, "", "{}");
+		return caller;
+	}
+
+	private static String readAnswer(CallerStandIn caller) {
+		try (caller) {
+			return caller.readAll();
+		}
+		catch (IOException ex) {
+			return "no answer: " + ex;
+		}
+	}
+
+	private static void assertRefusedAsNotRun(String answer) {
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+		Assert.assertTrue(answer.toLowerCase(Locale.ROOT).contains("retry-after"), answer);
+		Assert.assertTrue(answer.contains("shutting_down"), answer);
+	}
+
+	/**
+	 * Guards against a stop that closes the connections of requests that wait for an
+	 * endpoint or run at one, without an answer.
+	 */
+	@Test(timeOut = MAX_TEST_MILLIS)
+	public void requestsThatWaitForAnEndpointOrRunGetAnAnswer() throws Exception {
+		publishLongTimeouts("app", "ready");
+		CountDownLatch mayEnd = new CountDownLatch(1);
+		this.firstWorker.respondWith((request, out) -> {
+			awaitLatch(mayEnd);
+			out.answer(request, "late");
+		});
+		List<CallerStandIn> running = new ArrayList<>();
+		for (int i = 0; i < SLOTS; i++) {
+			running.add(send("POST /once/x", "running" + i));
+		}
+		await(() -> received().stream()
+			.filter((request) -> request.header("Request-Id").startsWith("run"))
+			.count() == 4);
+		List<CallerStandIn> waiting = new ArrayList<>();
+		for (int i = 0; i < WAITING; i++) {
+			waiting.add(send(((i % 2 == 0) ? "POST /once/" : "POST /again/") + i, "waiting" + i));
+		}
+		pause(200);
+		Thread stop = stopInBackground();
+		waiting.forEach((caller) -> assertRefusedAsNotRun(readAnswer(caller)));
+		for (CallerStandIn caller : running) {
+			String answer = readAnswer(caller);
+			Assert.assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		}
+		stop.join();
+		mayEnd.countDown();
+		Assert.assertTrue(received().stream().noneMatch((request) -> request.header("Request-Id").startsWith("wait")));
+	}
+
+	/**
+	 * Guards against a stop during which a request that an endpoint has refused waits for
+	 * another endpoint until its connection is closed.
+	 */
+	@Test(timeOut = MAX_TEST_MILLIS)
+	public void aRequestThatWouldWaitForARetryAfterAdmissionIsRefused() throws Exception {
+		publishLongTimeouts("app", "ready");
+		this.firstWorker.respondWith((request, out) -> {
+			pause(AFTER_ADMISSION_MILLIS);
+			out.refuse(request);
+		});
+		CallerStandIn caller = send("POST /once/x", "r1");
+		await(() -> receivedCount("r1") == 1);
+		Thread stop = stopInBackground();
+		assertRefusedAsNotRun(readAnswer(caller));
+		stop.join();
+	}
+
+	/**
+	 * Guards against a stop that takes an instance for idle while it still writes an
+	 * answer.
+	 */
+	@Test(timeOut = MAX_TEST_MILLIS)
+	public void anAnswerThatIsReadSlowlyIsWrittenCompletely() throws Exception {
+		publishLongTimeouts("app", "ready");
+		String body = "x".repeat(6_000_000);
+		this.firstWorker.respondWith((request, out) -> out.answer(request, body));
+		int colon = this.callerAddress.lastIndexOf(':');
+		try (Socket caller = new Socket(this.callerAddress.substring(0, colon),
+				Integer.parseInt(this.callerAddress.substring(colon + 1)))) {
+			caller.getOutputStream()
+				.write(("POST /once/x HTTP/1.1\r\nHost: loom.example\r\nRequest-Id: r1\r\nKey: k1\r\n"
+						+ "Content-Length: 0\r\n\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			await(() -> receivedCount("r1") == 1);
+			Thread stop = stopInBackground();
+			pause(AFTER_IDLE_END_MILLIS);
+			byte[] answer = caller.getInputStream().readAllBytes();
+			Assert.assertTrue(answer.length > body.length(), answer.length + " bytes read");
+			stop.join();
+		}
+	}
+
+}
