--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
@@ -112,7 +112,8 @@
 	public synchronized List<String> suspects(long nowMillis) {
 		List<String> suspects = new ArrayList<>();
 		this.evidenceByCause.forEach((cause, evidence) -> {
-			if (evidence.separateCrashes() >= MIN_CRASHES && evidence.ageMillis(nowMillis) >= MIN_OBSERVATION_MILLIS) {
+			if (evidence.crashes() >= MIN_CRASHES && evidence.separateCrashes() >= MIN_CRASHES
+					&& evidence.ageMillis(nowMillis) >= MIN_OBSERVATION_MILLIS) {
 				suspects.add(cause);
 			}
 		});
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/HarmCriterion.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/HarmCriterion.java
@@ -22,7 +22,7 @@
 
 	private static final int REQUIRED_IF_SERVED = 5;
 
-	private static final int SERVED_PER_REQUIRED_CRASH = 20;
+	private static final int SERVED_PER_REQUIRED_CRASH = 4;
 
 	private static final long MIN_HOLD_MILLIS = 5_000;
 
@@ -33,8 +33,8 @@
 	 * Returns how many crashes since the last answer that survived stand out.
 	 * @param served how often requests with the cause were served well in the time of the
 	 * crashes
-	 * @return 2 if it was never served, else 5 or, for hundreds of answers, one crash for
-	 * 20 of them, at most 20
+	 * @return 2 if it was never served, else one crash for 4 answers, at least 5 and at
+	 * most 20
 	 */
 	public static int requiredCrashes(long served) {
 		if (served <= 0) {
