--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -14,7 +15,12 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.HostPort;
+import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.Quotes;
+import org.poplarloom.core.process.EndpointNotices;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.RoutingTable;
@@ -65,6 +71,8 @@
 
 	private final Map<String, Long> removedMillis = new ConcurrentHashMap<>();
 
+	private final EndpointNotices notices = new EndpointNotices();
+
 	public PublishedEntries(ActiveRouting routing, Clock clock) {
 		this.routing = routing;
 		this.clock = clock;
@@ -73,8 +81,8 @@
 	/**
 	 * Replaces the entries of endpoints.
 	 * @param published the entries
-	 * @return whether an endpoint is new, has restarted, has another address, or has
-	 * started or stopped draining
+	 * @return whether an endpoint is new, has restarted, has another address, has become
+	 * cold, or has started or stopped draining
 	 */
 	public boolean update(List<EndpointEntry> published) {
 		List<EndpointEntry> changed = new ArrayList<>();
@@ -83,6 +91,7 @@
 				changed.add(entry);
 			}
 			this.endpoints.put(entry.endpoint().value(), new ReceivedEntry(entry, this.clock.nowMillis()));
+			this.notices.forgetOtherLifetimes(entry.endpoint(), String.valueOf(entry.lifetime()));
 			this.removedMillis.remove(entry.endpoint().value());
 		}
 		if (changed.size() > MAX_LOGGED_ENTRIES) {
@@ -97,7 +106,8 @@
 	private boolean isChangedBy(EndpointEntry entry) {
 		ReceivedEntry known = this.endpoints.get(entry.endpoint().value());
 		return known == null || known.entry.isDraining() != entry.isDraining()
-				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address());
+				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address())
+				|| (known.entry.coldMillis() == 0 && entry.coldMillis() > 0);
 	}
 
 	private static void log(EndpointEntry entry) {
@@ -109,17 +119,21 @@
 	/**
 	 * Removes an endpoint unless it published its entry again after the removal.
 	 * @param id the endpoint
-	 * @param removedMillis when the removal of its entry was read, in milliseconds since
-	 * the epoch
+	 * @param removedMillis when the removal of its entry, or one that cannot be used, was
+	 * read, in milliseconds since the epoch
+	 * @return whether it was known and is removed now
 	 */
-	public void remove(String id, long removedMillis) {
+	public boolean remove(String id, long removedMillis) {
 		ReceivedEntry current = this.endpoints.get(id);
-		if (current != null && current.receivedMillis <= removedMillis && this.endpoints.remove(id, current)) {
+		boolean isRemoved = current != null && current.receivedMillis <= removedMillis
+				&& this.endpoints.remove(id, current);
+		if (isRemoved) {
 			long now = this.clock.nowMillis();
 			this.removedMillis.values().removeIf((removal) -> removal + REMOVAL_MEMORY_MILLIS < now);
 			this.removedMillis.put(id, now);
 			logger.info("endpoint={} event=gone silent_ms={}", id, this.clock.nowMillis() - current.receivedMillis);
 		}
+		return isRemoved;
 	}
 
 	/**
@@ -135,8 +149,8 @@
 	}
 
 	/**
-	 * Replaces or removes the entry of an entry instance. An unreadable entry is logged
-	 * and skipped.
+	 * Replaces or removes the entry of an entry instance. An entry that cannot be used is
+	 * logged and names no instance, also where an earlier one did.
 	 * @param entry the record, whose key is the instance
 	 */
 	public void updateInstance(KeyedTablePort.Entry entry) {
@@ -144,13 +158,26 @@
 			this.instances.remove(entry.key());
 			return;
 		}
+		String content = new String(entry.value(), StandardCharsets.UTF_8);
 		try {
-			this.instances.put(entry.key(),
-					Documents.read(new String(entry.value(), StandardCharsets.UTF_8), ListedInstance.class));
+			this.instances.put(entry.key(), readInstance(entry.key(), content));
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.instances.remove(entry.key());
+			logger.warn("instance={} event=unreadable_entry cause=\"{}\" value=\"{}\"", Quotes.shortened(entry.key()),
+					ex.getMessage(), Quotes.shortened(content));
 		}
-		catch (PoplarloomException ex) {
-			logger.warn("instance={} event=unreadable_entry cause=\"{}\"", entry.key(), ex.getMessage());
+	}
+
+	private static ListedInstance readInstance(String key, String content) {
+		ListedInstance instance = Documents.read(content, ListedInstance.class);
+		if (!InstanceId.of(key).value().equals(instance.id()) || !ListedInstance.ENTRY.equals(instance.kind())) {
+			throw new PoplarloomException(ErrorCode.INVALID_DOCUMENT, "must be the entry of the instance '" + key
+					+ "', but was of kind '" + instance.kind() + "' with the id '" + instance.id() + "'");
 		}
+		HostPort.parse(instance.address());
+		AvailabilityZone.of(instance.zone());
+		return instance;
 	}
 
 	/**
@@ -202,8 +229,8 @@
 		List<ListedInstance> all = new ArrayList<>(this.instances.values());
 		for (ReceivedEntry received : this.endpoints.values()) {
 			EndpointEntry entry = received.entry;
-			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone(), entry.address(),
-					entry.isDraining()));
+			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone().value(),
+					entry.address(), isDraining(entry)));
 		}
 		return Mono.just(all);
 	}
@@ -218,6 +245,34 @@
 			.orElseGet(() -> Mono.error(new IllegalStateException("no endpoint at " + address)));
 	}
 
+	private boolean isDraining(EndpointEntry entry) {
+		return entry.isDraining() || this.notices.isLeaving(entry.endpoint(), String.valueOf(entry.lifetime()));
+	}
+
+	/**
+	 * Returns what endpoints have said about themselves in their answers.
+	 * @return the notices, which end with the lifetime of their endpoint
+	 */
+	public EndpointNotices notices() {
+		return this.notices;
+	}
+
+	/**
+	 * Returns how long all endpoints of a service want no requests.
+	 * @param service the service
+	 * @return the time until the first of them takes requests again, in milliseconds, or
+	 * empty if one does now or none is known
+	 */
+	public OptionalLong remainingBackOffMillis(String service) {
+		List<EndpointId> serving = this.endpoints.values()
+			.stream()
+			.map(ReceivedEntry::entry)
+			.filter((entry) -> entry.service().equals(service) && !isDraining(entry))
+			.map(EndpointEntry::endpoint)
+			.toList();
+		return this.notices.remainingBackOffMillis(serving, this.clock.nowMillis());
+	}
+
 	private EndpointReport report(ReceivedEntry received) {
 		EndpointEntry entry = received.entry;
 		RoutingTable.Service service = this.routing.table()
@@ -225,9 +280,11 @@
 			.orElse(new RoutingTable.Service(entry.service(), 0, 0, 0, null));
 		double rate = (service.engine() != null) ? service.engine().prefillTokensPerMilli() * MILLIS_PER_SECOND : 1;
 		long uptime = (entry.coldMillis() > 0) ? 0 : WARM_UPTIME_MILLIS;
-		return new EndpointReport(entry.endpoint(), String.valueOf(entry.lifetime()), entry.isDraining(),
+		long coldEndMillis = (entry.coldMillis() > 0) ? received.receivedMillis + entry.coldMillis() : 0;
+		return new EndpointReport(entry.endpoint(), String.valueOf(entry.lifetime()), isDraining(entry),
 				Set.of(entry.service()), entry.slots(), service.kvTokens(), rate, 0, uptime, Set.of(),
-				received.receivedMillis, service.engine());
+				received.receivedMillis, service.engine(),
+				new EndpointReport.ColdPeriod(service.coldRequestsPerSecond(), coldEndMillis));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -15,6 +15,7 @@
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.process.MemoryBudget;
+import org.poplarloom.core.request.Grant;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.Dispatch;
@@ -143,6 +144,14 @@
 	}
 
 	private void send() {
+		long maxDelayMillis = HttpExchanger.NO_MAX_DELAY;
+		if (this.endpoints.latestStartMillis() != Grant.NO_LATEST_START) {
+			maxDelayMillis = this.endpoints.latestStartMillis() - this.run.service().nowMillis();
+			if (maxDelayMillis < 0) {
+				fail(AttemptFailure.notExecuted("the grant on a cold endpoint is too old", null), null);
+				return;
+			}
+		}
 		EndpointProtocol protocol = this.run.service().protocol();
 		List<String> helpers = this.endpoints.helpers()
 			.stream()
@@ -151,13 +160,14 @@
 		int rank = RANK_AT_PRIORITY_ZERO - this.endpoints.priority() / PRIORITY_PER_RANK;
 		Dispatch dispatch = new Dispatch(endpoint().value(), this.run.teamName(), this.run.remainingMillis(), rank,
 				helpers, this.run.position().lastEventId());
+		this.run.service().entries().notices().recordUse(endpoint());
 		HttpExchanger exchanger = this.run.service().exchanger();
 		String address = this.endpoints.answering().address();
 		FullHttpRequest request = protocol.write(this.run.request(), dispatch);
 		// On a connection that carried the request before, its earlier answer may come
 		// once more, and nothing would tell the two apart.
-		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, this)
-				: exchanger.sendOnNewConnection(address, request, this);
+		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, maxDelayMillis, this)
+				: exchanger.sendOnNewConnection(address, request, maxDelayMillis, this);
 	}
 
 	@Override
@@ -172,6 +182,11 @@
 		}
 		this.head = response;
 		this.replyKind = reply;
+		if (reply == Reply.ANSWER || reply == Reply.FAILED || reply == Reply.NOT_EXECUTED) {
+			this.run.service()
+				.recordNotice(this.run.service().protocol().notice(response), this.endpoints.answering(),
+						this.endpoints);
+		}
 		if (reply == Reply.UNVERIFIED) {
 			this.exchange.cancel();
 			fail(AttemptFailure.executionUnknown("answer does not prove its origin", false), null);
@@ -323,7 +338,7 @@
 			failNotContinued("no event after event " + this.run.position().lastEventId());
 		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
-			completeIfEndpointRuns();
+			completeIfEndpointRuns(true);
 		}
 		else {
 			completeAnswer();
@@ -331,15 +346,18 @@
 	}
 
 	// The connection of an endpoint that has crashed ends like that of one that has
-	// finished.
-	private void completeIfEndpointRuns() {
-		EndpointCommand.checkRunning(this.run.service(), this.endpoints.answering().address(), (result) -> {
+	// finished. A busy endpoint may take longer than one check waits.
+	private void completeIfEndpointRuns(boolean isRepeatable) {
+		EndpointCommand.checkRunning(this.run.service(), this.endpoints, (result) -> {
 			if (this.ended) {
 				return;
 			}
 			if (result.isAnswered()) {
 				completeAnswer();
 			}
+			else if (isRepeatable) {
+				completeIfEndpointRuns(false);
+			}
 			else {
 				fail(AttemptFailure.executionUnknown("the endpoint ended with the connection: " + result.detail(),
 						true), null);
