An odd entry of a configuration costs only itself, and names of teams are passed on as written

Cause: a team's name had to be an identifier of this system, an exception in one entry ended the reading of the document, numbers were taken over unchecked (negative limits and times, weights without a bound), and a table without teams was taken for one in which no key is needed. Only the log showed an unreadable document.

Change: each field has a type and a range; a route, service or team with findings is left out, of the limits the default applies, each finding is logged with its place (50 at most). A document without a version, or with something else in the place of a list, is unreadable: the one before stays in force. Gauges configuration.findings and configuration.unreadable. A team carries its name; its identifier follows from it. The name is sent in UTF-8.

Not covered: every range on its own, keys of teams beyond ASCII.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/Findings.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/Findings.java
@@ -23,6 +23,14 @@
 		this.entries.add(new Finding(place, code, message));
 	}
 
+	/**
+	 * Adds the findings of a part.
+	 * @param others the findings of the part
+	 */
+	public void addAll(Findings others) {
+		this.entries.addAll(others.entries);
+	}
+
 	/**
 	 * Returns the findings so far.
 	 * @return an immutable copy
--- a/poplarloom-core/src/main/java/org/poplarloom/core/Identifiers.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/Identifiers.java
@@ -14,8 +14,12 @@
 	private Identifiers() {
 	}
 
+	static boolean isValid(String value) {
+		return value != null && VALID.matcher(value).matches();
+	}
+
 	static String requireValid(String kind, String value) {
-		if (value == null || !VALID.matcher(value).matches()) {
+		if (!isValid(value)) {
 			throw new PoplarloomException(ErrorCode.INVALID_IDENTIFIER, kind
 					+ " must be 1 to 63 characters of a-z, 0-9, '.', '_' and '-' and begin with a letter or digit, but was '"
 					+ Quotes.shortened(value) + "'");
--- a/poplarloom-core/src/main/java/org/poplarloom/core/TeamId.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/TeamId.java
@@ -1,5 +1,8 @@
 package org.poplarloom.core;
 
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+
 /**
  * The name of a team, the customer that a contract is made with.
  * <p>
@@ -10,6 +13,8 @@
  */
 public record TeamId(String value) implements Comparable<TeamId> {
 
+	private static final String DERIVED_PREFIX = "team-";
+
 	public TeamId {
 		Identifiers.requireValid("team", value);
 	}
@@ -24,6 +29,20 @@
 		return new TeamId(value);
 	}
 
+	/**
+	 * Returns the identifier of a team whose name may have any form.
+	 * @param name the name
+	 * @return the name itself if it is a valid identifier, or else one that is derived
+	 * from it and the same for the same name everywhere
+	 */
+	public static TeamId ofName(String name) {
+		if (Identifiers.isValid(name)) {
+			return new TeamId(name);
+		}
+		UUID derived = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8));
+		return new TeamId(DERIVED_PREFIX + derived);
+	}
+
 	@Override
 	public int compareTo(TeamId other) {
 		return this.value.compareTo(other.value);
--- a/poplarloom-core/src/main/java/org/poplarloom/core/version/RoutingTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/version/RoutingTable.java
@@ -24,32 +24,45 @@
 
 	private final Map<String, Team> teamsByKey = new HashMap<>();
 
-	private final boolean hasTeams;
+	private final boolean needsKeys;
 
 	private final CallerLimits limits;
 
-	private RoutingTable(long version, List<Route> routes, List<Service> services, List<Team> teams,
+	private RoutingTable(long version, List<Route> routes, List<Service> services, List<Team> teams, boolean needsKeys,
 			CallerLimits limits) {
 		this.version = version;
 		this.limits = limits;
-		this.hasTeams = !teams.isEmpty();
+		this.needsKeys = needsKeys;
 		routes.forEach((route) -> this.routes.put(routeKey(route.host(), route.pathPrefix()), route));
 		services.forEach((service) -> this.services.put(service.name(), service));
 		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
 	}
 
 	/**
-	 * Returns a routing table.
+	 * Returns a routing table with teams, so that requests need a key.
 	 * @param version the version, higher ones replace lower ones
 	 * @param routes the routes
 	 * @param services the services
-	 * @param teams the teams; if there are none, no request needs a key
+	 * @param teams the teams; if there are none, no key is valid
 	 * @param limits the limits on requests of callers
 	 * @return the table
 	 */
-	public static RoutingTable of(long version, List<Route> routes, List<Service> services, List<Team> teams,
+	public static RoutingTable withTeams(long version, List<Route> routes, List<Service> services, List<Team> teams,
 			CallerLimits limits) {
-		return new RoutingTable(version, routes, services, teams, limits);
+		return new RoutingTable(version, routes, services, teams, true, limits);
+	}
+
+	/**
+	 * Returns a routing table without teams, so that no request needs a key.
+	 * @param version the version, higher ones replace lower ones
+	 * @param routes the routes
+	 * @param services the services
+	 * @param limits the limits on requests of callers
+	 * @return the table
+	 */
+	public static RoutingTable withoutTeams(long version, List<Route> routes, List<Service> services,
+			CallerLimits limits) {
+		return new RoutingTable(version, routes, services, List.of(), false, limits);
 	}
 
 	private static String routeKey(String host, String prefix) {
@@ -111,10 +124,10 @@
 
 	/**
 	 * Returns whether requests need a key.
-	 * @return true if there are teams
+	 * @return true if the configuration contains a list of teams, also an empty one
 	 */
-	public boolean hasTeams() {
-		return this.hasTeams;
+	public boolean needsKeys() {
+		return this.needsKeys;
 	}
 
 	/**
@@ -136,11 +149,11 @@
 	/**
 	 * A team and its keys.
 	 *
-	 * @param id the team
+	 * @param name its name as the operator writes it
 	 * @param keys its keys
 	 * @param priority its priority, which overrides the route's, or {@link #NO_PRIORITY}
 	 */
-	public record Team(TeamId id, List<String> keys, int priority) {
+	public record Team(String name, List<String> keys, int priority) {
 
 		/** The team has no priority of its own, so that the route's priority applies. */
 		public static final int NO_PRIORITY = -1;
@@ -149,6 +162,14 @@
 			keys = List.copyOf(keys);
 		}
 
+		/**
+		 * Returns the identifier of the team within the system.
+		 * @return the identifier, which follows from the name
+		 */
+		public TeamId id() {
+			return TeamId.ofName(this.name);
+		}
+
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -125,6 +125,8 @@
 		this.tables = new RelayTables(new RelayTables.Identity(own, seedAddresses()), this.store, this.routing,
 				this.entries, this.node, this.loop);
 		this.metrics.registerGauge("configuration.age_ms", this.tables::operatorsAgeMillis);
+		this.metrics.registerGauge("configuration.findings", this.tables::configurationFindings);
+		this.metrics.registerGauge("configuration.unreadable", this.tables::unreadableConfigurations);
 		this.tables.start();
 		this.callerServer.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.callerAddress = this.callerServer.listenForCallers(this.platform.callerAddress());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -20,6 +20,7 @@
 
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Findings;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.Quotes;
 import org.poplarloom.core.process.TablePosition;
@@ -109,6 +110,8 @@
 	 */
 	private static final int NOTIFIED_PEERS = 2;
 
+	private static final int MAX_LOGGED_FINDINGS = 50;
+
 	private final Identity identity;
 
 	private final KeyedTablePort store;
@@ -138,6 +141,12 @@
 	/** The era in which this instance's entry was last written or is being written. */
 	private long ownEntryEra = TablePosition.NONE.era();
 
+	// Read by other threads too.
+
+	private volatile long configurationFindings;
+
+	private volatile long unreadableConfigurations;
+
 	private volatile boolean stopping;
 
 	/**
@@ -314,13 +323,47 @@
 		if (entry.isTombstone()) {
 			return;
 		}
-		RoutingTable next = ConfigurationFormat.read(entry.value());
+		Findings findings = new Findings();
+		RoutingTable next = readConfiguration(entry, findings);
 		if (this.routing.activateIfNewer(next)) {
+			this.configurationFindings = findings.entries().size();
+			findings.entries()
+				.stream()
+				.limit(MAX_LOGGED_FINDINGS)
+				.forEach((finding) -> logger.error("event=configuration_finding version={} finding=\"{}\"",
+						next.version(), finding));
 			logger.info("event=configuration version={} position={} age_ms={}", next.version(), entry.position(),
 					operatorsAgeMillis());
 		}
 	}
 
+	private RoutingTable readConfiguration(KeyedTablePort.Entry entry, Findings findings) {
+		try {
+			return ConfigurationFormat.read(entry.value(), findings);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.unreadableConfigurations++;
+			throw ex;
+		}
+	}
+
+	/**
+	 * Returns how many entries of the configuration in force cannot be used.
+	 * @return the number of findings, 0 if the configuration is sound
+	 */
+	long configurationFindings() {
+		return this.configurationFindings;
+	}
+
+	/**
+	 * Returns how many configurations could not be read, so that the one before stayed in
+	 * force.
+	 * @return the number since the start
+	 */
+	long unreadableConfigurations() {
+		return this.unreadableConfigurations;
+	}
+
 	private void applyEndpointRecords(List<KeyedTablePort.Entry> records) {
 		List<EndpointEntry> published = new ArrayList<>();
 		boolean isChanged = false;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -382,7 +382,7 @@
 	}
 
 	String teamName() {
-		return (this.team != null) ? this.team.id().value() : "";
+		return (this.team != null) ? this.team.name() : "";
 	}
 
 	long remainingMillis() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -124,7 +124,7 @@
 
 	private static Optional<RoutingTable.Team> team(RoutingTable table, Route route, RelayRequest request) {
 		Optional<RoutingTable.Team> team = table.team(request.apiKey());
-		if (team.isEmpty() && table.hasTeams() && !route.isPublic()) {
+		if (team.isEmpty() && table.needsKeys() && !route.isPublic()) {
 			throw new PoplarloomException(ErrorCode.UNAUTHORIZED, "the key belongs to no team");
 		}
 		return team;
