--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -19,6 +20,7 @@
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.Quotes;
+import org.poplarloom.core.process.EndpointNotices;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.version.Documents;
 import org.poplarloom.core.version.RoutingTable;
@@ -69,6 +71,8 @@
 
 	private final Map<String, Long> removedMillis = new ConcurrentHashMap<>();
 
+	private final EndpointNotices notices = new EndpointNotices();
+
 	public PublishedEntries(ActiveRouting routing, Clock clock) {
 		this.routing = routing;
 		this.clock = clock;
@@ -77,8 +81,8 @@
 	/**
 	 * Replaces the entries of endpoints.
 	 * @param published the entries
-	 * @return whether an endpoint is new, has restarted, has another address, or has
-	 * started or stopped draining
+	 * @return whether an endpoint is new, has restarted, has another address, has become
+	 * cold, or has started or stopped draining
 	 */
 	public boolean update(List<EndpointEntry> published) {
 		List<EndpointEntry> changed = new ArrayList<>();
@@ -87,6 +91,7 @@
 				changed.add(entry);
 			}
 			this.endpoints.put(entry.endpoint().value(), new ReceivedEntry(entry, this.clock.nowMillis()));
+			this.notices.forgetOtherLifetimes(entry.endpoint(), String.valueOf(entry.lifetime()));
 			this.removedMillis.remove(entry.endpoint().value());
 		}
 		if (changed.size() > MAX_LOGGED_ENTRIES) {
@@ -101,7 +106,8 @@
 	private boolean isChangedBy(EndpointEntry entry) {
 		ReceivedEntry known = this.endpoints.get(entry.endpoint().value());
 		return known == null || known.entry.isDraining() != entry.isDraining()
-				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address());
+				|| known.entry.lifetime() != entry.lifetime() || !known.entry.address().equals(entry.address())
+				|| (known.entry.coldMillis() == 0 && entry.coldMillis() > 0);
 	}
 
 	private static void log(EndpointEntry entry) {
@@ -224,7 +230,7 @@
 		for (ReceivedEntry received : this.endpoints.values()) {
 			EndpointEntry entry = received.entry;
 			all.add(new ListedInstance(entry.endpoint().value(), ListedInstance.ENGINE, entry.zone().value(),
-					entry.address(), entry.isDraining()));
+					entry.address(), isDraining(entry)));
 		}
 		return Mono.just(all);
 	}
@@ -239,6 +245,34 @@
 			.orElseGet(() -> Mono.error(new IllegalStateException("no endpoint at " + address)));
 	}
 
+	private boolean isDraining(EndpointEntry entry) {
+		return entry.isDraining() || this.notices.isLeaving(entry.endpoint(), String.valueOf(entry.lifetime()));
+	}
+
+	/**
+	 * Returns what endpoints have said about themselves in their answers.
+	 * @return the notices, which end with the lifetime of their endpoint
+	 */
+	public EndpointNotices notices() {
+		return this.notices;
+	}
+
+	/**
+	 * Returns how long all endpoints of a service want no requests.
+	 * @param service the service
+	 * @return the time until the first of them takes requests again, in milliseconds, or
+	 * empty if one does now or none is known
+	 */
+	public OptionalLong remainingBackOffMillis(String service) {
+		List<EndpointId> serving = this.endpoints.values()
+			.stream()
+			.map(ReceivedEntry::entry)
+			.filter((entry) -> entry.service().equals(service) && !isDraining(entry))
+			.map(EndpointEntry::endpoint)
+			.toList();
+		return this.notices.remainingBackOffMillis(serving, this.clock.nowMillis());
+	}
+
 	private EndpointReport report(ReceivedEntry received) {
 		EndpointEntry entry = received.entry;
 		RoutingTable.Service service = this.routing.table()
@@ -246,9 +280,11 @@
 			.orElse(new RoutingTable.Service(entry.service(), 0, 0, 0, null));
 		double rate = (service.engine() != null) ? service.engine().prefillTokensPerMilli() * MILLIS_PER_SECOND : 1;
 		long uptime = (entry.coldMillis() > 0) ? 0 : WARM_UPTIME_MILLIS;
-		return new EndpointReport(entry.endpoint(), String.valueOf(entry.lifetime()), entry.isDraining(),
+		long coldEndMillis = (entry.coldMillis() > 0) ? received.receivedMillis + entry.coldMillis() : 0;
+		return new EndpointReport(entry.endpoint(), String.valueOf(entry.lifetime()), isDraining(entry),
 				Set.of(entry.service()), entry.slots(), service.kvTokens(), rate, 0, uptime, Set.of(),
-				received.receivedMillis, service.engine());
+				received.receivedMillis, service.engine(),
+				new EndpointReport.ColdPeriod(service.coldRequestsPerSecond(), coldEndMillis));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -4,13 +4,18 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.process.MemoryBudget;
+import org.poplarloom.core.request.Grant;
 import org.poplarloom.port.http.ExchangeListener;
 import org.poplarloom.port.http.HttpExchanger;
 import org.poplarloom.port.relay.Dispatch;
@@ -25,12 +30,17 @@
  */
 final class RelayAttempt implements ExchangeListener {
 
+	private static final Logger logger = LoggerFactory.getLogger(RelayAttempt.class);
+
 	/** Limit for answers that are not streamed, since these are buffered in memory. */
 	private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
 	/** Events hold some hundred bytes; one that never ends must not fill the memory. */
 	private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+	/** The body of a refusal is not used; it is read to its end up to this size. */
+	private static final int MAX_IGNORED_BYTES = 64 * 1024;
+
 	private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
 
 	/** Maps the home's priorities 10 to 30 to the engine's ranks 5 to 1. */
@@ -51,14 +61,25 @@
 
 	private final EventBuffer events = new EventBuffer();
 
+	private final MemoryBudget.Share memory;
+
 	private final String reservationId;
 
+	private final boolean isFirstAtEndpoint;
+
+	/** Whether an earlier attempt has begun the stream that this one must continue. */
+	private final boolean isContinuation;
+
 	private HttpExchanger.Exchange exchange;
 
 	private HttpResponse head;
 
 	private Reply replyKind;
 
+	private int exchangeNumber;
+
+	private int ignoredBytes;
+
 	private boolean firstByteReceived;
 
 	private long firstByteMillis;
@@ -67,14 +88,19 @@
 
 	private boolean survivedBeginning;
 
+	private boolean eventAdded;
+
 	private boolean ended;
 
-	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId) {
+	RelayAttempt(RelayRun run, AttemptEndpoints endpoints, String reservationId, boolean isFirstAtEndpoint) {
+		this.isFirstAtEndpoint = isFirstAtEndpoint;
 		this.run = run;
 		this.endpoints = endpoints;
 		this.reservation = endpoints.reservingHelpers().isEmpty() ? null
 				: new MemoryReservation(reservationId, endpoints, () -> this.lastReceivedMillis, run.service());
 		this.reservationId = reservationId;
+		this.memory = run.service().memory().openShare();
+		this.isContinuation = run.isStreamStarted();
 	}
 
 	EndpointId endpoint() {
@@ -85,6 +111,14 @@
 		return this.endpoints.answering().bootId();
 	}
 
+	/**
+	 * Returns the number of the exchange on its connection.
+	 * @return the number, from 1, or 0 if no response has begun
+	 */
+	int exchangeNumber() {
+		return this.exchangeNumber;
+	}
+
 	/**
 	 * Sends the request, after all helpers that need memory for it have reserved it.
 	 */
@@ -107,6 +141,14 @@
 	}
 
 	private void send() {
+		long maxDelayMillis = HttpExchanger.NO_MAX_DELAY;
+		if (this.endpoints.latestStartMillis() != Grant.NO_LATEST_START) {
+			maxDelayMillis = this.endpoints.latestStartMillis() - this.run.service().nowMillis();
+			if (maxDelayMillis < 0) {
+				fail(AttemptFailure.notExecuted("the grant on a cold endpoint is too old", null), null);
+				return;
+			}
+		}
 		EndpointProtocol protocol = this.run.service().protocol();
 		List<String> helpers = this.endpoints.helpers()
 			.stream()
@@ -114,20 +156,40 @@
 			.toList();
 		int rank = RANK_AT_PRIORITY_ZERO - this.endpoints.priority() / PRIORITY_PER_RANK;
 		Dispatch dispatch = new Dispatch(endpoint().value(), this.run.teamName(), this.run.remainingMillis(), rank,
-				helpers, this.run.lastEventId());
-		this.exchange = this.run.service()
-			.exchanger()
-			.send(this.endpoints.answering().address(), protocol.write(this.run.request(), dispatch), this);
+				helpers, this.run.position().lastEventId());
+		this.run.service().entries().notices().recordUse(endpoint());
+		HttpExchanger exchanger = this.run.service().exchanger();
+		String address = this.endpoints.answering().address();
+		FullHttpRequest request = protocol.write(this.run.request(), dispatch);
+		// On a connection that carried the request before, its earlier answer may come
+		// once more, and nothing would tell the two apart.
+		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, maxDelayMillis, this)
+				: exchanger.sendOnNewConnection(address, request, maxDelayMillis, this);
 	}
 
 	@Override
-	public boolean head(HttpResponse response) {
-		Reply reply = this.run.service().protocol().classify(this.run.request(), response);
+	public boolean head(HttpResponse response, int numberOnConnection) {
+		this.exchangeNumber = numberOnConnection;
+		Reply reply = this.run.service().protocol().classify(this.run.request(), response, numberOnConnection);
 		if (reply == Reply.OTHER_REQUEST) {
+			logger.info("request={} event=response_skipped endpoint={} exchange={} status={}", this.run.request().id(),
+					endpoint(), numberOnConnection, response.status().code());
+			this.run.service().metrics().recordSkippedResponse();
 			return false;
 		}
 		this.head = response;
 		this.replyKind = reply;
+		if (reply == Reply.ANSWER || reply == Reply.FAILED || reply == Reply.NOT_EXECUTED) {
+			this.run.service()
+				.recordNotice(this.run.service().protocol().notice(response), this.endpoints.answering(),
+						this.endpoints);
+		}
+		if (reply == Reply.UNVERIFIED) {
+			this.exchange.cancel();
+			fail(AttemptFailure.executionUnknown("answer does not prove its origin", false), null);
+			return true;
+		}
+		this.exchange.setAutoRead(this.run.isReading());
 		return true;
 	}
 
@@ -138,16 +200,19 @@
 		}
 		recordProgress();
 		if (isStream()) {
-			for (EventBuffer.Event event : this.events.add(content)) {
-				this.run.writeEvent(this.head, event);
-			}
-			if (this.events.pendingBytes() > MAX_EVENT_BYTES) {
-				failTooLarge("event", MAX_EVENT_BYTES);
-			}
+			writeEvents(content);
+			return;
+		}
+		if (this.isContinuation && this.replyKind == Reply.ANSWER) {
+			this.exchange.cancel();
+			failNoStream();
 			return;
 		}
-		if (this.body.size() + content.readableBytes() > MAX_BODY_BYTES) {
-			failTooLarge("answer", MAX_BODY_BYTES);
+		if (this.replyKind != Reply.ANSWER && this.replyKind != Reply.FAILED) {
+			ignore(content);
+			return;
+		}
+		if (!reserve("answer", this.body.size() + content.readableBytes(), MAX_BODY_BYTES)) {
 			return;
 		}
 		byte[] bytes = new byte[content.readableBytes()];
@@ -155,9 +220,55 @@
 		this.body.writeBytes(bytes);
 	}
 
-	private void failTooLarge(String part, int maxBytes) {
+	private void writeEvents(ByteBuf content) {
+		for (EventBuffer.Event event : this.events.add(content)) {
+			if (this.isContinuation && !this.run.position().isContinuedBy(event)) {
+				this.exchange.cancel();
+				failNotContinued("event " + event.id() + " after event " + this.run.position().lastEventId());
+				return;
+			}
+			this.eventAdded |= !event.isComment() && !this.run.position().isRepetition(event);
+			this.run.writeEvent(this.head, event);
+			if (this.ended) {
+				return;
+			}
+		}
+		reserve("event", this.events.pendingBytes(), MAX_EVENT_BYTES);
+	}
+
+	private void failNoStream() {
+		failNotContinued("status " + this.head.status().code() + ", type "
+				+ this.head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+	}
+
+	private void failNotContinued(String detail) {
+		fail(AttemptFailure.executionUnknown("answer does not continue the stream: " + detail, false), null);
+	}
+
+	private void ignore(ByteBuf content) {
+		this.ignoredBytes += content.readableBytes();
+		if (this.ignoredBytes > MAX_IGNORED_BYTES) {
+			this.exchange.cancel();
+			failNotExecuted();
+		}
+	}
+
+	// An endpoint whose answers do not end is not granted for a while, like one that
+	// cannot be reached.
+	private boolean reserve(String part, int bytes, int maxBytes) {
+		boolean isTooLarge = bytes > maxBytes;
+		if (!isTooLarge && this.memory.tryResize(bytes)) {
+			return true;
+		}
 		this.exchange.cancel();
-		fail(AttemptFailure.executionUnknown(part + " is larger than " + maxBytes + " bytes", false), null);
+		MemoryBudget budget = this.run.service().memory();
+		String cause = isTooLarge ? part + " is larger than " + maxBytes + " bytes"
+				: part + " of " + bytes + " bytes exceeds its part of the memory, of which " + budget.heldBytes()
+						+ " of " + budget.capacityBytes() + " bytes are held";
+		logger.warn("request={} event=memory_refused endpoint={} bytes={} cause=\"{}\"", this.run.request().id(),
+				endpoint(), bytes, cause);
+		fail(AttemptFailure.executionUnknown(cause, false), endpoint());
+		return false;
 	}
 
 	private boolean isStream() {
@@ -209,14 +320,22 @@
 			case ANSWER -> endAnswer();
 			case FAILED -> fail(AttemptFailure.endpointError(this.head, this.body.toByteArray()), null);
 			case NOT_EXECUTED, MISDIRECTED -> failNotExecuted();
-			default -> fail(AttemptFailure.executionUnknown("answer does not prove its origin", false), null);
+			default -> throw new IllegalStateException("unexpected end of a response of class " + this.replyKind);
 		}
 	}
 
 	private void endAnswer() {
-		if (isStream() && isBrokenOff()) {
+		if (this.isContinuation && !isStream()) {
+			failNoStream();
+		}
+		else if (isStream() && isBrokenOff()) {
 			fail(AttemptFailure.executionUnknown("stream ended inside an event or before the first one", true), null);
 		}
+		else if (this.isContinuation && !this.eventAdded) {
+			// The end of an answer without events does not prove that the last event of
+			// the earlier answer was the last one of the stream.
+			failNotContinued("no event after event " + this.run.position().lastEventId());
+		}
 		else if (AnswerFraming.of(this.head) == AnswerFraming.CONNECTION_END) {
 			completeIfEndpointRuns(true);
 		}
@@ -226,12 +345,9 @@
 	}
 
 	// The connection of an endpoint that has crashed ends like that of one that has
-	// finished. The check may be sent on an idle connection that ends in the same moment,
-	// so it is repeated once.
+	// finished. A busy endpoint may take longer than one check waits.
 	private void completeIfEndpointRuns(boolean isRepeatable) {
-		RelayService service = this.run.service();
-		String address = this.endpoints.answering().address();
-		EndpointCommand.send(service, address, service.protocol().writeStatusRequest(address), (result) -> {
+		EndpointCommand.checkRunning(this.run.service(), this.endpoints, (result) -> {
 			if (this.ended) {
 				return;
 			}
@@ -239,7 +355,6 @@
 				completeAnswer();
 			}
 			else if (isRepeatable) {
-				service.exchanger().closeIdle(address);
 				completeIfEndpointRuns(false);
 			}
 			else {
@@ -293,6 +408,7 @@
 
 	private void release(EndpointId unreachable) {
 		this.ended = true;
+		this.memory.close();
 		if (this.reservation != null) {
 			this.reservation.release();
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -5,11 +5,14 @@
 import java.util.Optional;
 
 import io.netty.channel.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
+import org.poplarloom.core.process.MemoryBudget;
 import org.poplarloom.core.process.RetryBudget;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
@@ -18,6 +21,7 @@
 import org.poplarloom.entry.process.PublishedEntries;
 import org.poplarloom.entry.version.ActiveRouting;
 import org.poplarloom.port.http.HttpExchanger;
+import org.poplarloom.port.relay.EndpointNotice;
 import org.poplarloom.port.relay.EndpointProtocol;
 import org.poplarloom.port.relay.RelayRequest;
 
@@ -30,6 +34,8 @@
  */
 public final class RelayService {
 
+	private static final Logger logger = LoggerFactory.getLogger(RelayService.class);
+
 	private static final double PERCENT = 100;
 
 	/**
@@ -53,6 +59,8 @@
 
 	private final EventLoop loop;
 
+	private final MemoryBudget memory;
+
 	private final RetryLimit retryLimit;
 
 	private final RelayMetrics metrics = new RelayMetrics();
@@ -69,16 +77,18 @@
 	 * @param exchanger the HTTP client for endpoints
 	 * @param protocol the wire format of endpoints
 	 * @param loop the event loop
+	 * @param memory limits the memory that requests and answers hold
 	 * @param retryLimit the retries that a service bears
 	 */
 	public RelayService(Node node, ActiveRouting routing, PublishedEntries entries, HttpExchanger exchanger,
-			EndpointProtocol protocol, EventLoop loop, RetryLimit retryLimit) {
+			EndpointProtocol protocol, EventLoop loop, MemoryBudget memory, RetryLimit retryLimit) {
 		this.node = node;
 		this.routing = routing;
 		this.entries = entries;
 		this.exchanger = exchanger;
 		this.protocol = protocol;
 		this.loop = loop;
+		this.memory = memory;
 		this.retryLimit = retryLimit;
 	}
 
@@ -159,6 +169,42 @@
 		return this.node;
 	}
 
+	/**
+	 * Records what a response says about its endpoint. The home of a leaving endpoint is
+	 * told, so that it grants it to nobody.
+	 * @param notice what the response says
+	 * @param endpoint the endpoint that sent it
+	 * @param endpoints the endpoints of the attempt
+	 */
+	void recordNotice(EndpointNotice notice, AttemptEndpoints.AssignedEndpoint endpoint, AttemptEndpoints endpoints) {
+		if (notice.backOffMillis() > 0) {
+			this.entries.notices()
+				.recordBackOff(endpoint.endpoint(), endpoint.bootId(), notice.backOffMillis(), nowMillis());
+			this.metrics.recordBackOff();
+			logger.info("endpoint={} event=back_off lifetime={} for_ms={}", endpoint.endpoint(), endpoint.bootId(),
+					notice.backOffMillis());
+		}
+		if (notice.isLeaving() && recordLeaving(endpoint.endpoint(), endpoint.bootId())) {
+			endpoints.reportLeaving(endpoint);
+		}
+	}
+
+	/**
+	 * Records that an endpoint has said that it leaves.
+	 * @param endpoint the endpoint
+	 * @param bootId the boot ID of its process
+	 * @return whether that was not known
+	 */
+	public boolean recordLeaving(EndpointId endpoint, String bootId) {
+		boolean isNew = this.entries.notices().recordLeaving(endpoint, bootId, nowMillis());
+		if (isNew) {
+			this.metrics.recordLeaving();
+			logger.info("endpoint={} event=said_leaving lifetime={}", endpoint, bootId);
+			this.node.refreshEndpoints();
+		}
+		return isNew;
+	}
+
 	CrashInvestigation crashInvestigation() {
 		return this.node.crashInvestigation();
 	}
@@ -167,6 +213,10 @@
 		return this.entries;
 	}
 
+	MemoryBudget memory() {
+		return this.memory;
+	}
+
 	HttpExchanger exchanger() {
 		return this.exchanger;
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -6,10 +6,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection of an {@link HttpExchanger}.
@@ -34,10 +37,14 @@
 	/** A response to another request is skipped up to this size. */
 	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
+	private static final Logger logger = LoggerFactory.getLogger(HttpConnection.class);
+
 	private final HttpExchanger exchanger;
 
 	private final String address;
 
+	private final ResponseDecoder decoder = new ResponseDecoder(HttpExchanger.DECODER_LIMITS, this::isHeadRequest);
+
 	private ChannelHandlerContext context;
 
 	private CurrentExchange current;
@@ -48,6 +55,8 @@
 
 	private boolean isSkippingResponse;
 
+	private int exchangeNumber;
+
 	private int interimResponses;
 
 	private int skippedBytes;
@@ -56,6 +65,10 @@
 
 	private long reusableUntilNanos;
 
+	private long connectStartedNanos;
+
+	private long maxDelayMillis;
+
 	private long keepAliveMillis = HttpExchanger.DEFAULT_KEEP_ALIVE_MILLIS;
 
 	HttpConnection(HttpExchanger exchanger, String address) {
@@ -63,16 +76,27 @@
 		this.address = address;
 	}
 
+	ResponseDecoder decoder() {
+		return this.decoder;
+	}
+
+	private boolean isHeadRequest() {
+		return this.current != null && this.current.request.method().equals(HttpMethod.HEAD);
+	}
+
 	String address() {
 		return this.address;
 	}
 
 	boolean isReusable(long nowNanos) {
-		return this.context.channel().isActive() && !this.isReuseForbidden && nowNanos < this.reusableUntilNanos;
+		return this.context.channel().isActive() && !this.isReuseForbidden && !this.decoder.hasBufferedBytes()
+				&& nowNanos < this.reusableUntilNanos;
 	}
 
-	HttpExchanger.Exchange startWhenConnected(FullHttpRequest request, ExchangeListener listener) {
+	HttpExchanger.Exchange startWhenConnected(FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		this.current = new CurrentExchange(request, listener);
+		this.connectStartedNanos = System.nanoTime();
+		this.maxDelayMillis = maxDelayMillis;
 		return this.current;
 	}
 
@@ -85,6 +109,7 @@
 
 	private void write(CurrentExchange next) {
 		next.isSent = true;
+		this.exchangeNumber++;
 		this.hasResponseStarted = false;
 		this.interimResponses = 0;
 		this.isKeepAlive = false;
@@ -102,24 +127,31 @@
 			ctx.close();
 			return;
 		}
+		if (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.connectStartedNanos) > this.maxDelayMillis) {
+			failUnsent("connected too late to " + this.address, null);
+			ctx.close();
+			return;
+		}
 		write(this.current);
 	}
 
 	void handleConnectFailure(Throwable cause) {
+		failUnsent("cannot connect to " + this.address, cause);
+	}
+
+	private void failUnsent(String message, Throwable cause) {
 		CurrentExchange failed = this.current;
 		this.current = null;
 		if (failed != null) {
 			failed.request.release();
-			failed.listener
-				.fail(new HttpExchanger.ExchangeException("cannot connect to " + this.address, false, cause));
+			failed.listener.fail(new HttpExchanger.ExchangeException(message, false, cause));
 		}
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
 		if (this.current == null) {
-			this.isReuseForbidden = true;
-			ctx.close();
+			closeForUnexpectedData();
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -127,6 +159,11 @@
 			return;
 		}
 		if (message instanceof HttpResponse head) {
+			String fault = ResponseHeads.findFault(head);
+			if (fault != null) {
+				fail("answer is not HTTP: " + fault, null);
+				return;
+			}
 			if (head.status().code() < MIN_FINAL_STATUS) {
 				if (++this.interimResponses > MAX_INTERIM_RESPONSES) {
 					fail("more than " + MAX_INTERIM_RESPONSES + " interim responses", null);
@@ -136,7 +173,7 @@
 			this.hasResponseStarted = true;
 			this.isKeepAlive = HttpUtil.isKeepAlive(head) && hasBodyLength(head);
 			this.keepAliveMillis = keepAliveMillis(head);
-			this.isSkippingResponse = !this.current.listener.head(head);
+			this.isSkippingResponse = !this.current.listener.head(head, this.exchangeNumber);
 			this.isReuseForbidden |= this.isSkippingResponse;
 		}
 		if (message instanceof HttpContent content && this.current != null && this.hasResponseStarted) {
@@ -156,6 +193,23 @@
 		}
 	}
 
+	private void closeForUnexpectedData() {
+		if (!this.isReuseForbidden) {
+			logger.info("address={} event=unexpected_data exchange={}", this.address, this.exchangeNumber);
+			this.exchanger.countUnexpectedData();
+		}
+		close();
+	}
+
+	// Less than a head stays in the decoder, and the next response would be appended.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.current == null && this.decoder.hasBufferedBytes()) {
+			closeForUnexpectedData();
+		}
+		ctx.fireChannelReadComplete();
+	}
+
 	private static boolean hasBodyLength(HttpResponse head) {
 		return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
 	}
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -51,7 +51,7 @@
 			new ParallelPrefill(2, 3, 1.5, 9));
 
 	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
-			new FencingToken(99), 200_000, 30);
+			new FencingToken(99), 200_000, 30, true, 1_500);
 
 	@DataProvider
 	public static Object[] messages() {
@@ -73,6 +73,7 @@
 				new Message.TableNotice("t", TablePosition.NONE),
 				new Message.TableContent("t", TablePosition.of(2, 9),
 						List.of(new Message.TableRecord("k", "v", TablePosition.of(1, 8)))),
+				new Message.EndpointLeaving(EndpointId.of("i-1"), "7"),
 				new Message.CrashReport("e@b", "r", List.of("p")), new Message.SurvivalQuery(List.of("p", "q")),
 				new Message.SurvivalReply(
 						List.of(new Message.SurvivalReply.Age(-1), new Message.SurvivalReply.Age(20))),
