--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -426,7 +426,7 @@
 	}
 
 	String teamName() {
-		return (this.team != null) ? this.team.id().value() : "";
+		return (this.team != null) ? this.team.name() : "";
 	}
 
 	long remainingMillis() {
