Take the limits of a caller's request from the version in force

The idle timeout and the timeout of a request that arrives slowly outlived their version in the same way.

Cause: the limits were read once a connection, and the HTTP codec keeps the limit of headers that it is made with.

Change: a request takes its limits from the version that is in force when its head arrives. The codec's limit is a constant of 1 MB that ends endless headers; the limit in force is applied to the decoded head. When a version becomes active, the timers of idle connections are set again.

The limit of headers covers names and values.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -110,6 +110,7 @@
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
+		this.routing.whenActivated(() -> this.loop.execute(this.callerServer::applyLimits));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
@@ -50,6 +50,9 @@
 
 	private static final int HEADERS_TOO_LARGE_STATUS = 431;
 
+	/** The colon and the space between a header's name and value. */
+	private static final int HEADER_SEPARATOR_BYTES = 2;
+
 	private static final List<CharSequence> CONNECTION_HEADERS = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
 			HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.UPGRADE,
 			HttpHeaderNames.TRAILER, "Proxy-Connection");
@@ -60,7 +63,8 @@
 
 	private final RelayService relay;
 
-	private final RoutingTable.CallerLimits limits;
+	/** The limits in force when the head of the current request arrived. */
+	private RoutingTable.CallerLimits limits;
 
 	private ChannelHandlerContext context;
 
@@ -83,12 +87,12 @@
 
 	private ScheduledFuture<?> timer;
 
-	CallerConnection(CallerServer server, CallerProtocol protocol, RelayService relay,
-			RoutingTable.CallerLimits limits) {
+	private long idleSinceNanos;
+
+	CallerConnection(CallerServer server, CallerProtocol protocol, RelayService relay) {
 		this.server = server;
 		this.protocol = protocol;
 		this.relay = relay;
-		this.limits = limits;
 	}
 
 	/**
@@ -103,7 +107,23 @@
 	public void channelActive(ChannelHandlerContext ctx) {
 		this.context = ctx;
 		this.server.add(this);
-		startTimer(this.limits.idleTimeoutMillis());
+		this.idleSinceNanos = System.nanoTime();
+		startIdleTimer();
+	}
+
+	/**
+	 * Applies the idle timeout in force to a connection that waits for a request; other
+	 * limits apply from the next request on.
+	 */
+	void applyLimits() {
+		if (this.head == null && !this.busy && !this.closing) {
+			startIdleTimer();
+		}
+	}
+
+	private void startIdleTimer() {
+		long idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.idleSinceNanos);
+		startTimer(Math.max(0, this.server.limits().idleTimeoutMillis() - idleMillis));
 	}
 
 	private void startTimer(long delayMillis) {
@@ -153,18 +173,36 @@
 	private void refuseMalformed(Throwable cause) {
 		this.keepAlive = false;
 		if (cause instanceof TooLongHttpHeaderException) {
-			writeText(HttpResponseStatus.valueOf(HEADERS_TOO_LARGE_STATUS), "headers are too large", 0);
+			refuseHeaders();
 			return;
 		}
 		refuseIncomplete(ErrorCode.INVALID_REQUEST, "request is not HTTP: " + cause.getMessage());
 	}
 
+	private void refuseHeaders() {
+		this.keepAlive = false;
+		this.request = null;
+		writeText(HttpResponseStatus.valueOf(HEADERS_TOO_LARGE_STATUS), "headers are too large", 0);
+	}
+
+	private static int sizeOf(HttpHeaders headers) {
+		int size = 0;
+		for (Map.Entry<String, String> header : headers) {
+			size += header.getKey().length() + HEADER_SEPARATOR_BYTES + header.getValue().length();
+		}
+		return size;
+	}
+
 	private void startRequest(HttpRequest next) {
 		this.head = next;
+		this.limits = this.server.limits();
 		this.body = Unpooled.buffer();
 		this.keepAlive = HttpUtil.isKeepAlive(next);
 		startTimer(this.limits.headerTimeoutMillis() + this.limits.idleTimeoutMillis());
-		if (HttpUtil.getContentLength(next, 0L) > this.limits.bodyBytes()) {
+		if (sizeOf(next.headers()) > this.limits.headerBytes()) {
+			refuseHeaders();
+		}
+		else if (HttpUtil.getContentLength(next, 0L) > this.limits.bodyBytes()) {
 			refuseTooLarge();
 		}
 		else if (HttpUtil.is100ContinueExpected(next)) {
@@ -255,7 +293,8 @@
 		this.head = null;
 		this.closing = !isKeptOpen;
 		if (isKeptOpen) {
-			startTimer(this.limits.idleTimeoutMillis());
+			this.idleSinceNanos = System.nanoTime();
+			startIdleTimer();
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
@@ -30,6 +30,12 @@
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
+	/**
+	 * Ends headers that never end. The limit in force is lower and applies to each
+	 * request, since a codec keeps its limit as long as the connection is open.
+	 */
+	private static final int MAX_HEADER_BYTES = 1024 * 1024;
+
 	private static final int ACCEPT_BACKLOG = 1_024;
 
 	private final EventLoopGroup group;
@@ -62,12 +68,11 @@
 
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				RoutingTable.CallerLimits current = CallerServer.this.limits.get();
 				CallerConnection connection = new CallerConnection(CallerServer.this, CallerServer.this.protocol,
-						CallerServer.this.relay, current);
+						CallerServer.this.relay);
+				int headerBytes = Math.max(MAX_HEADER_BYTES, limits().headerBytes());
 				channel.pipeline()
-					.addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, current.headerBytes(), MAX_CHUNK_BYTES),
-							connection);
+					.addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, headerBytes, MAX_CHUNK_BYTES), connection);
 			}
 
 		});
@@ -133,6 +138,17 @@
 		this.connections.remove(connection);
 	}
 
+	RoutingTable.CallerLimits limits() {
+		return this.limits.get();
+	}
+
+	/**
+	 * Applies limits that have changed to the connections that are open.
+	 */
+	public void applyLimits() {
+		Set.copyOf(this.connections).forEach(CallerConnection::applyLimits);
+	}
+
 	boolean isKeepAliveDisabled() {
 		return this.keepAliveDisabled;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
@@ -13,6 +13,17 @@
 
 	private volatile RoutingTable table;
 
+	private volatile Runnable onActivated = () -> {
+	};
+
+	/**
+	 * Sets what runs after each activation, in the thread that activates.
+	 * @param task the task; it replaces an earlier one
+	 */
+	public void whenActivated(Runnable task) {
+		this.onActivated = task;
+	}
+
 	/**
 	 * Activates a table if its version is higher than that of the table in force.
 	 * @param next the table
@@ -22,6 +33,7 @@
 		boolean isNewer = this.table == null || next.version() > this.table.version();
 		if (isNewer) {
 			this.table = next;
+			this.onActivated.run();
 		}
 		return isNewer;
 	}
