--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -43,6 +45,11 @@
 
 	private static final long MIN_RETRY_AFTER_MILLIS = 500;
 
+	/**
+	 * Callers that are refused because all endpoints back off come back over this time.
+	 */
+	private static final long BACK_OFF_SPREAD_MILLIS = 500;
+
 	private static final long NOT_MEASURED = -1;
 
 	private static final TeamId PUBLIC_TEAM = TeamId.of("public");
@@ -57,6 +64,8 @@
 
 	private final Set<EndpointId> excluded = new HashSet<>();
 
+	private final Set<EndpointId> attempted = new HashSet<>();
+
 	private final StreamPosition position;
 
 	private Route route;
@@ -85,6 +94,8 @@
 
 	private boolean streamStarted;
 
+	private boolean reading = true;
+
 	private PrefillPlan prefillPlan;
 
 	private long firstEventMillis = NOT_MEASURED;
@@ -124,6 +135,15 @@
 			sendRefusal(RelayService.shuttingDown());
 			return;
 		}
+		OptionalLong backOffMillis = this.service.entries().remainingBackOffMillis(this.serviceName);
+		if (backOffMillis.isPresent()) {
+			// Spread, so that the callers do not come back all at once.
+			long spreadMillis = ThreadLocalRandom.current().nextLong(BACK_OFF_SPREAD_MILLIS);
+			grantRefused(new PoplarloomException(ErrorCode.NO_ENDPOINT, Executed.NO,
+					"no endpoint of the service takes requests for " + backOffMillis.getAsLong() + " ms",
+					backOffMillis.getAsLong() + spreadMillis));
+			return;
+		}
 		long attemptStartedMillis = (this.attemptCount == 0) ? this.startedMillis : this.service.nowMillis();
 		LatencyTarget latencyTarget = GrantSearch.Criteria.latencyTarget(this.route, attemptStartedMillis,
 				this.deadlineMillis);
@@ -149,7 +169,9 @@
 		}
 		this.attemptCount++;
 		this.endpointCount = endpoints.helpers().size() + 1;
-		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount);
+		boolean isFirstAtEndpoint = this.attempted.add(endpoints.answering().endpoint());
+		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount,
+				isFirstAtEndpoint);
 		this.attempt.start();
 	}
 
@@ -378,11 +400,16 @@
 	 * @param isReading true if the caller's connection can be written to
 	 */
 	void setReading(boolean isReading) {
+		this.reading = isReading;
 		if (this.attempt != null) {
 			this.attempt.setReading(isReading);
 		}
 	}
 
+	boolean isReading() {
+		return this.reading;
+	}
+
 	String fingerprint() {
 		int hash = Objects.hash(this.request.method(), this.request.apiKey(), Arrays.hashCode(this.request.body()));
 		return this.request.target() + "#" + Integer.toHexString(hash) + "." + this.request.body().length;
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -16,7 +16,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * An HTTP client that reports each step of an exchange to a listener.
@@ -27,6 +28,9 @@
  */
 public final class HttpExchanger {
 
+	/** The request may be sent whenever the connection is open. */
+	public static final long NO_MAX_DELAY = Long.MAX_VALUE;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
 	/**
@@ -43,6 +47,11 @@
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
+	static final HttpDecoderConfig DECODER_LIMITS = new HttpDecoderConfig()
+		.setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+		.setMaxHeaderSize(MAX_HEADER_BYTES)
+		.setMaxChunkSize(MAX_CHUNK_BYTES);
+
 	private final EventLoop loop;
 
 	private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
@@ -65,11 +74,25 @@
 	 * @return the exchange
 	 */
 	public Exchange send(String address, FullHttpRequest request, ExchangeListener listener) {
+		return send(address, request, NO_MAX_DELAY, listener);
+	}
+
+	/**
+	 * Starts an exchange, on an idle connection if there is one, unless the request
+	 * cannot be sent soon.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param maxDelayMillis the time after which the request is not sent any more, in
+	 * milliseconds, or {@link #NO_MAX_DELAY}
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange send(String address, FullHttpRequest request, long maxDelayMillis, ExchangeListener listener) {
 		HttpConnection idleConnection = takeIdle(address);
 		if (idleConnection != null) {
 			return idleConnection.start(request, listener);
 		}
-		return open(address, request, listener);
+		return sendOnNewConnection(address, request, maxDelayMillis, listener);
 	}
 
 	private HttpConnection takeIdle(String address) {
@@ -84,12 +107,43 @@
 		return null;
 	}
 
-	private Exchange open(String address, FullHttpRequest request, ExchangeListener listener) {
+	/**
+	 * Starts an exchange on a new connection, which cannot deliver the response to an
+	 * earlier request.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange sendOnNewConnection(String address, FullHttpRequest request, ExchangeListener listener) {
+		return sendOnNewConnection(address, request, NO_MAX_DELAY, listener);
+	}
+
+	/**
+	 * Starts an exchange on a new connection, which cannot deliver the response to an
+	 * earlier request, unless the request cannot be sent soon.
+	 * @param address the host and port
+	 * @param request the request, which is released once it is sent or has failed
+	 * @param maxDelayMillis the time after which the request is not sent any more, in
+	 * milliseconds, or {@link #NO_MAX_DELAY}
+	 * @param listener receives the events of the exchange
+	 * @return the exchange
+	 */
+	public Exchange sendOnNewConnection(String address, FullHttpRequest request, long maxDelayMillis,
+			ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
-		int colon = address.lastIndexOf(':');
-		InetSocketAddress endpointAddress = new InetSocketAddress(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)));
-		Exchange exchange = connection.startWhenConnected(request, listener);
+		Exchange exchange = connection.startWhenConnected(request, maxDelayMillis, listener);
+		InetSocketAddress endpointAddress;
+		try {
+			int colon = address.lastIndexOf(':');
+			endpointAddress = new InetSocketAddress(address.substring(0, colon),
+					Integer.parseInt(address.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
+			// The listener expects events only after this method has returned.
+			this.loop.execute(() -> connection.handleConnectFailure(ex));
+			return exchange;
+		}
 		this.openedConnections++;
 		new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -99,9 +153,7 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								connection);
+					channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
 				}
 
 			})
