Accept only the granted lifetime of an endpoint as running

What callers saw: nothing yet.

Cause: any reply at the address counted, whoever sent it.

Change: a status that names another start than the entry under which the endpoint was granted does not count; one that names none does, as before.

Measured: two of three tests of RelayRestartedEndpointTests fail with the comparison taken out, none with it. RelayUndelimitedAnswerTests, RelayLongPromptTests, RelayStrayReplyTests and FormatTests pass.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
@@ -1,5 +1,6 @@
 package org.poplarloom.entry.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -24,12 +25,20 @@
 
 	private static final long TIMEOUT_MILLIS = 500;
 
+	/** The boot ID of an endpoint whose entry does not name its start. */
+	private static final String UNKNOWN_BOOT_ID = "0";
+
+	/** A status has some hundred bytes; of a longer one only the beginning is kept. */
+	private static final int MAX_REPLY_BYTES = 64 * 1024;
+
 	private final EndpointProtocol protocol;
 
 	private final Consumer<EndpointNotice> onNotice;
 
 	private final Consumer<Result> onResult;
 
+	private final ByteArrayOutputStream reply = new ByteArrayOutputStream();
+
 	private ScheduledFuture<?> timeout;
 
 	private HttpResponseStatus status;
@@ -58,7 +67,8 @@
 	}
 
 	/**
-	 * Checks on a new connection whether an endpoint runs.
+	 * Checks on a new connection whether an endpoint still runs in the lifetime in which
+	 * it was granted.
 	 * @param service the relay
 	 * @param endpoints the endpoints of the attempt, of which the answering one is
 	 * checked
@@ -67,7 +77,8 @@
 	static void checkRunning(RelayService service, AttemptEndpoints endpoints, Consumer<Result> onResult) {
 		AttemptEndpoints.AssignedEndpoint endpoint = endpoints.answering();
 		EndpointCommand command = new EndpointCommand(service.protocol(),
-				(notice) -> service.recordNotice(notice, endpoint, endpoints), onResult);
+				(notice) -> service.recordNotice(notice, endpoint, endpoints),
+				(result) -> onResult.accept(result.inLifetime(endpoint.bootId())));
 		FullHttpRequest request = service.protocol().writeStatusRequest(endpoint.address());
 		command.startTimeout(service, service.exchanger().sendOnNewConnection(endpoint.address(), request, command));
 	}
@@ -75,7 +86,7 @@
 	private void startTimeout(RelayService service, HttpExchanger.Exchange exchange) {
 		this.timeout = service.loop().schedule(() -> {
 			exchange.cancel();
-			finish(new Result(null, "no answer within " + TIMEOUT_MILLIS + " ms"));
+			finish(Result.failed("no answer within " + TIMEOUT_MILLIS + " ms"));
 		}, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -91,17 +102,19 @@
 
 	@Override
 	public void content(ByteBuf content) {
-		// Only the status is used.
+		byte[] bytes = new byte[Math.min(content.readableBytes(), MAX_REPLY_BYTES - this.reply.size())];
+		content.readBytes(bytes);
+		this.reply.writeBytes(bytes);
 	}
 
 	@Override
 	public void end() {
-		finish(new Result(this.status, this.status.toString()));
+		finish(new Result(this.status, this.status.toString(), this.protocol.bootId(this.reply.toByteArray())));
 	}
 
 	@Override
 	public void fail(HttpExchanger.ExchangeException failure) {
-		finish(new Result(null, failure.getMessage()));
+		finish(Result.failed(failure.getMessage()));
 	}
 
 	private void finish(Result result) {
@@ -120,8 +133,19 @@
 	 *
 	 * @param status the status of the response, or null if there was no complete response
 	 * @param detail the status or the reason why there is none, for the log
+	 * @param bootId the boot ID of the process that responded, empty if it names none
 	 */
-	record Result(HttpResponseStatus status, String detail) {
+	record Result(HttpResponseStatus status, String detail, String bootId) {
+
+		static Result failed(String detail) {
+			return new Result(null, detail, "");
+		}
+
+		Result inLifetime(String expected) {
+			boolean isKnown = !this.bootId.isEmpty() && !expected.equals(UNKNOWN_BOOT_ID);
+			boolean isOther = isKnown && !this.bootId.equals(expected);
+			return isOther ? failed("process " + this.bootId + " runs instead of " + expected) : this;
+		}
 
 		boolean isOk() {
 			return HttpResponseStatus.OK.equals(this.status);
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/EndpointProtocol.java
@@ -68,6 +68,14 @@
 	 */
 	FullHttpRequest writeStatusRequest(String address);
 
+	/**
+	 * Returns the boot ID of the process that sent a status.
+	 * @param status the body of the reply to a status request
+	 * @return the boot ID, as in the endpoint's published entry, empty if the status
+	 * names none
+	 */
+	String bootId(byte[] status);
+
 	/**
 	 * Formats a helper for {@link Dispatch#helpers()}.
 	 * @param address the helper's host and port
