Handle a hang-up signal from the beginning of the program

Cause: the handler was set after the daemon had started; until then the signal ends a Java process.

Change: the handler is set before the settings are read. A reload that is requested before the daemon runs follows its start. A process without the platform's settings, which has nothing to reload, no longer ends at the signal.

Measured: DeferredTaskTests and RelayStopTests pass; a process was not started for it.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -16,6 +16,7 @@
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.version.ContractReader;
 import org.poplarloom.entry.process.Daemon;
+import org.poplarloom.entry.process.DeferredTask;
 import org.poplarloom.entry.process.HangupSignal;
 import org.poplarloom.entry.process.RelayDaemon;
 import org.poplarloom.platform.PlatformSettings;
@@ -82,6 +83,8 @@
 	}
 
 	private static int runCommand(Options options) {
+		DeferredTask reload = new DeferredTask();
+		HangupSignal.handle(reload);
 		Findings findings = new Findings();
 		boolean isRelayMode = !options.config().isEmpty();
 		PlatformSettings platform = isRelayMode ? PlatformSettings.read(Path.of(options.config()), findings) : null;
@@ -101,7 +104,7 @@
 		}
 		LogConfigurator.useFormat(options.logFormat());
 		configureNetty(settings.instance());
-		start(settings, platform, Path.of(options.config()));
+		start(settings, platform, Path.of(options.config()), reload);
 		return RUNNING;
 	}
 
@@ -122,11 +125,11 @@
 		return (platform != null) ? reader.read(options, System.getenv(), platform) : null;
 	}
 
-	private static void start(Settings settings, PlatformSettings platform, Path platformFile) {
+	private static void start(Settings settings, PlatformSettings platform, Path platformFile, DeferredTask reload) {
 		Runnable stop;
 		if (platform != null) {
 			RelayDaemon daemon = RelayDaemon.start(platform, settings);
-			HangupSignal.handle(() -> daemon.reload(platformFile));
+			reload.set(() -> daemon.reload(platformFile));
 			stop = daemon::stopGracefully;
 		}
 		else {
