Ask for the back-off of a service only while an endpoint backs off

Cause: each request listed all endpoints of its service to find that none backs off; at 7,900 endpoints that would cost more than the request itself (read in the diff, not measured).

Change: the notices are asked first whether there is a back-off, which also drops those that are over.

Measured: EndpointNoticesTests and RelayNoticeTests pass.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointNotices.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointNotices.java
@@ -124,6 +124,16 @@
 		return unusable;
 	}
 
+	/**
+	 * Returns whether an endpoint wants no requests or is in the ramp after that.
+	 * @param nowMillis the time in milliseconds
+	 * @return false if {@link #remainingBackOffMillis} is empty for all services
+	 */
+	public boolean hasBackOffs(long nowMillis) {
+		this.backOffs.values().removeIf((backOff) -> backOff.isOver(nowMillis));
+		return !this.backOffs.isEmpty();
+	}
+
 	/**
 	 * Returns how long all endpoints of a service want no requests.
 	 * @param endpoints the endpoints that serve it
@@ -132,7 +142,7 @@
 	 * empty if one does now or there is none
 	 */
 	public OptionalLong remainingBackOffMillis(Collection<EndpointId> endpoints, long nowMillis) {
-		if (this.backOffs.isEmpty() || endpoints.isEmpty()) {
+		if (endpoints.isEmpty()) {
 			return OptionalLong.empty();
 		}
 		long shortest = Long.MAX_VALUE;
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/EndpointNoticesTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/EndpointNoticesTests.java
@@ -64,12 +64,15 @@
 	@Test
 	public void theBackOffOfAServiceIsTheShortestOfItsEndpoints() {
 		EndpointNotices service = new EndpointNotices();
+		Assert.assertFalse(service.hasBackOffs(0));
 		service.recordBackOff(FIRST, "1", 2_000, 0);
+		Assert.assertTrue(service.hasBackOffs(2_999));
 		Assert.assertEquals(service.remainingBackOffMillis(List.of(FIRST, SECOND), 100), OptionalLong.empty());
 		service.recordBackOff(SECOND, "1", 900, 0);
 		Assert.assertEquals(service.remainingBackOffMillis(List.of(FIRST, SECOND), 100), OptionalLong.of(800));
 		Assert.assertEquals(service.remainingBackOffMillis(List.of(FIRST, SECOND), 900), OptionalLong.empty());
 		Assert.assertEquals(service.remainingBackOffMillis(List.of(), 100), OptionalLong.empty());
+		Assert.assertFalse(service.hasBackOffs(3_000));
 	}
 
 	@Test(expectedExceptions = IllegalArgumentException.class)
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -264,6 +264,9 @@
 	 * empty if one does now or none is known
 	 */
 	public OptionalLong remainingBackOffMillis(String service) {
+		if (!this.notices.hasBackOffs(this.clock.nowMillis())) {
+			return OptionalLong.empty();
+		}
 		List<EndpointId> serving = this.endpoints.values()
 			.stream()
 			.map(ReceivedEntry::entry)
