--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/ResponseHeads.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/ResponseHeads.java
@@ -17,7 +17,7 @@
 
 	private static final String PROTOCOL_NAME = "HTTP";
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+\\s+\\d{3}", Pattern.CASE_INSENSITIVE);
 
 	private ResponseHeads() {
 	}
