Refuse a request whose transfer encoding is unknown

Cause: a body in an encoding other than chunks was taken for empty, and what followed for the next request.

Change: such a request gets 400 and its connection is closed.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
@@ -224,6 +224,10 @@
 		if (sizeOf(next.headers()) > this.limits.headerBytes()) {
 			refuseHeaders();
 		}
+		else if (!isLengthClear(next.headers())) {
+			refuseIncomplete(ErrorCode.INVALID_REQUEST, "transfer encoding must be 'chunked', but was '"
+					+ String.join(", ", next.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)) + "'");
+		}
 		else if (HttpUtil.getContentLength(next, 0L) > this.limits.bodyBytes()) {
 			refuseTooLarge();
 		}
@@ -235,6 +239,13 @@
 		}
 	}
 
+	// What follows a body of unclear length could be read as a request of its own.
+	private static boolean isLengthClear(HttpHeaders headers) {
+		List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		return codings.isEmpty()
+				|| (codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim()));
+	}
+
 	private void appendBody(HttpContent content) {
 		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.bodyBytes()) {
 			refuseTooLarge();
