Settings for readers of tables, team shares and load spreading

Cause: the parts that docs/design/competing-load.md specifies change how a deployment is served, so each needs a switch that is off by default.

Change: the flags, their checks and two records in Settings; the platform adapter reads whether callers compete for capacity from the list of contracts. Nothing uses the values yet.

Measured: builds with formatter and linter; no behaviour changes.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/demo/LocalSystem.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/demo/LocalSystem.java
@@ -129,7 +129,7 @@
 				this.layout.firstHttpPort() + ((this.layout.firstHttpPort() == 0) ? 0 : this.daemons.size()), 0,
 				this.log.address(), this.instanceList.address(), PEER_KEY, OPERATOR_TOKEN, 1,
 				this.layout.failureTimeoutMillis(), this.layout.settleMillis(), this.layout.ramp(), 1L << 30,
-				this.layout.drainMillis(), OWNER_KEY, "none", 0);
+				this.layout.drainMillis(), OWNER_KEY, "none", 0, Settings.TableReaders.ALL, Settings.Load.DEFAULT);
 		Daemon daemon = Daemon.start(settings);
 		this.daemons.put(id, daemon);
 		this.instanceList.put(new InstanceListStandIn.Entry(id, "entry", zone, daemon.peerAddress(), false));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Options.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Options.java
@@ -66,6 +66,34 @@
 	@Parameter(names = "--drain-ms", description = "Maximum duration of a graceful shutdown, in milliseconds")
 	private String drainMillis = "600000";
 
+	@Parameter(names = "--table-readers-per-zone",
+			description = "Number of instances of a zone that read the platform's tables, 0 for all")
+	private String tableReadersPerZone = "0";
+
+	@Parameter(names = "--table-readers-min-instances",
+			description = "Live instances of a zone from which on --table-readers-per-zone applies")
+	private String tableReadersMinInstances = "9";
+
+	@Parameter(names = "--admission",
+			description = "Order of queued requests: deadline or shares; by default as the platform's settings say")
+	private String admission = "";
+
+	@Parameter(names = "--load-spread", description = "Whether load is balanced by spare capacity: on or off")
+	private String loadSpread = "off";
+
+	@Parameter(names = "--load-spread-min-instances",
+			description = "Live instances of a zone from which on --load-spread applies")
+	private String loadSpreadMinInstances = "9";
+
+	@Parameter(names = "--slow-readers",
+			description = "Whether answers to slow callers are buffered: on or off; by default as the platform's"
+					+ " settings say")
+	private String slowReaders = "";
+
+	@Parameter(names = "--endpoint-speeds",
+			description = "Whether the speed of each endpoint is learnt from its answers: on or off")
+	private String endpointSpeeds = "off";
+
 	@Parameter(names = "--owner", description = "Owner whose key signs the usage pages of this instance")
 	private String owner = "";
 
@@ -174,6 +202,34 @@
 		return this.bodyBudgetBytes;
 	}
 
+	String tableReadersPerZone() {
+		return this.tableReadersPerZone;
+	}
+
+	String tableReadersMinInstances() {
+		return this.tableReadersMinInstances;
+	}
+
+	String admission() {
+		return this.admission;
+	}
+
+	String loadSpread() {
+		return this.loadSpread;
+	}
+
+	String loadSpreadMinInstances() {
+		return this.loadSpreadMinInstances;
+	}
+
+	String slowReaders() {
+		return this.slowReaders;
+	}
+
+	String endpointSpeeds() {
+		return this.endpointSpeeds;
+	}
+
 	String drainMillis() {
 		return this.drainMillis;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Settings.java
@@ -33,15 +33,54 @@
  * @param traceExport the target of trace spans: {@code none}, {@code log} or the URL of
  * an OTLP collector
  * @param cpuCores the cores that the process may use, 0 if unknown
+ * @param tableReaders how many instances of a zone read the platform's tables
+ * @param load how requests are admitted and placed
  */
 public record Settings(InstanceId instance, AvailabilityZone zone, String host, int httpPort, int peerPort,
 		String logAddress, String listAddress, String peerKey, String operatorToken, int shardsPerZone,
 		long failureTimeoutMillis, long settleMillis, ColdStartRamp.Settings ramp, long bodyBudgetBytes,
-		long drainMillis, OwnerKey ownerKey, String traceExport, double cpuCores) {
+		long drainMillis, OwnerKey ownerKey, String traceExport, double cpuCores, TableReaders tableReaders,
+		Load load) {
 
 	@Override
 	public String toString() {
 		return "Settings[instance=" + this.instance + ", zone=" + this.zone + ", host=" + this.host + "]";
 	}
 
+	/**
+	 * How many instances of a zone read the platform's tables; the others fetch the
+	 * records from them. This class is immutable and thread-safe.
+	 *
+	 * @param perZone the number of readers, 0 if every instance reads
+	 * @param minInstances the number of live instances of a zone from which on this
+	 * applies
+	 */
+	public record TableReaders(int perZone, int minInstances) {
+
+		/** Every instance reads the tables. */
+		public static final TableReaders ALL = new TableReaders(0, 0);
+
+	}
+
+	/**
+	 * How requests are admitted and placed. This class is immutable and thread-safe.
+	 *
+	 * @param hasTeamShares whether teams share the engines' time fairly while requests
+	 * wait; if false, queued requests are ordered by deadline only
+	 * @param isSpread whether load is balanced by spare capacity and age of the
+	 * information
+	 * @param spreadMinInstances the number of live instances of a zone from which on
+	 * {@code isSpread} applies
+	 * @param buffersSlowReaders whether answers are buffered while a caller reads slowly
+	 * @param learnsEndpointSpeeds whether the speed of each endpoint is learnt from its
+	 * answers
+	 */
+	public record Load(boolean hasTeamShares, boolean isSpread, int spreadMinInstances, boolean buffersSlowReaders,
+			boolean learnsEndpointSpeeds) {
+
+		/** Everything is off. */
+		public static final Load DEFAULT = new Load(false, false, 0, false, false);
+
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/SettingsReader.java
@@ -41,6 +41,8 @@
 
 	private static final int MAX_RAMP_REQUESTS = 1_000;
 
+	private static final int MAX_INSTANCES = 100_000;
+
 	private final Findings findings;
 
 	public SettingsReader(Findings findings) {
@@ -69,6 +71,8 @@
 		long bodyBudgetBytes = bodyBudgetBytes(options);
 		long drainMillis = millis("--drain-ms", options.drainMillis());
 		OwnerKey ownerKey = ownerKey(options.owner(), environment.getOrDefault(OWNER_KEY, ""));
+		Settings.TableReaders tableReaders = tableReaders(options);
+		Settings.Load load = load(options, false);
 		if (!options.logFormat().equals("human") && !options.logFormat().equals("json")) {
 			invalid("--log-format", "must be human or json", options.logFormat());
 		}
@@ -77,7 +81,7 @@
 		}
 		return new Settings(instance, zone, options.host(), httpPort, peerPort, logAddress, listAddress, peerKey,
 				operatorToken, shardsPerZone, failureTimeoutMillis, settleMillis, ramp, bodyBudgetBytes, drainMillis,
-				ownerKey, options.traceExport(), 0);
+				ownerKey, options.traceExport(), 0, tableReaders, load);
 	}
 
 	/**
@@ -98,12 +102,41 @@
 		long settleMillis = millis("--settle-ms", options.settleMillis());
 		ColdStartRamp.Settings ramp = ramp(options);
 		long bodyBudgetBytes = bodyBudgetBytes(options);
+		Settings.TableReaders tableReaders = tableReaders(options);
+		Settings.Load load = load(options, platform.isUnderPressure());
 		if (!this.findings.isEmpty()) {
 			return null;
 		}
 		return new Settings(instance, zone, platform.host(), metricsPort, platform.peerPort(), platform.storeAddress(),
 				"", peerKey, "", shardsPerZone, failureTimeoutMillis, settleMillis, ramp, bodyBudgetBytes,
-				platform.graceMillis(), OwnerKey.none(), options.traceExport(), platform.cpuCores());
+				platform.graceMillis(), OwnerKey.none(), options.traceExport(), platform.cpuCores(), tableReaders,
+				load);
+	}
+
+	private Settings.TableReaders tableReaders(Options options) {
+		int perZone = (int) number("--table-readers-per-zone", options.tableReadersPerZone(), 0, MAX_INSTANCES);
+		int minInstances = (int) number("--table-readers-min-instances", options.tableReadersMinInstances(), 1,
+				MAX_INSTANCES);
+		return new Settings.TableReaders(perZone, minInstances);
+	}
+
+	private Settings.Load load(Options options, boolean isUnderPressure) {
+		boolean hasTeamShares = options.admission().isEmpty() ? isUnderPressure
+				: choice("--admission", options.admission(), "shares", "deadline");
+		boolean isSpread = choice("--load-spread", options.loadSpread(), "on", "off");
+		int spreadMinInstances = (int) number("--load-spread-min-instances", options.loadSpreadMinInstances(), 1,
+				MAX_INSTANCES);
+		boolean buffersSlowReaders = options.slowReaders().isEmpty() ? isUnderPressure
+				: choice("--slow-readers", options.slowReaders(), "on", "off");
+		return new Settings.Load(hasTeamShares, isSpread, spreadMinInstances, buffersSlowReaders,
+				choice("--endpoint-speeds", options.endpointSpeeds(), "on", "off"));
+	}
+
+	private boolean choice(String flag, String value, String yes, String no) {
+		if (!value.equals(yes) && !value.equals(no)) {
+			invalid(flag, "must be " + yes + " or " + no, value);
+		}
+		return value.equals(yes);
 	}
 
 	private long bodyBudgetBytes(Options options) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -286,7 +286,7 @@
 			this.address = host + ":1";
 			this.settings = new Settings(InstanceId.of(id), AvailabilityZone.of(zone), host, 0, 1, "", "",
 					"0123456789abcdef", "", 1, 1_600, 1_000, new ColdStartRamp.Settings(6, 500, 500), 0, 2_000,
-					OwnerKey.none(), "none", 0);
+					OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, Settings.Load.DEFAULT);
 			this.entries = new PublishedEntries(this.routing, this::nowMillis);
 			NodeRuntime runtime = new NodeRuntime(SimulatedFleet.this.channel.eventLoop(), this::nowMillis,
 					this::connect, () -> {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -69,10 +69,10 @@
 	 */
 	RelayDaemon newDaemon(String name) {
 		PlatformSettings platform = new PlatformSettings(name, "norte-a", "127.0.0.1", ANY_PORT, ANY_PORT, 0,
-				this.store.address(), List.of(), graceMillis(), 0.2, 20, 0);
+				this.store.address(), List.of(), graceMillis(), 0.2, 20, 0, false);
 		Settings settings = new Settings(InstanceId.of(name), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
 				this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1, new ColdStartRamp.Settings(4, 1, 1),
-				memoryBytes(), 2_000, OwnerKey.none(), "none", 0);
+				memoryBytes(), 2_000, OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, Settings.Load.DEFAULT);
 		return RelayDaemon.start(platform, settings);
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/request/GrantClientTests.java
@@ -73,7 +73,8 @@
 	@BeforeMethod
 	public void createClient() {
 		Settings settings = new Settings(SELF, LOCAL_ZONE, "127.0.0.1", 0, 1, "", "", "0123456789abcdef", "", 1, 60_000,
-				1, ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none", 0);
+				1, ColdStartRamp.Settings.DEFAULT, 0, 1_000, OwnerKey.none(), "none", 0, Settings.TableReaders.ALL,
+				Settings.Load.DEFAULT);
 		this.listed.clear();
 		this.directory = new EndpointDirectory(LOCAL_ZONE, (zone) -> Mono.just(List.copyOf(this.listed)),
 				(address) -> Mono.empty(), this.clock);
