Try another endpoint after one that has ended while it was listed

Change: an attempt that did not reach the endpoint granted for it does not count against the attempts of the route, up to four of them, within the retry budget; after a 421 the home does not grant the endpoint until its next entry.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -320,7 +320,8 @@
 		switch (this.replyKind) {
 			case ANSWER -> endAnswer();
 			case FAILED -> fail(AttemptFailure.endpointError(this.head, this.body.toByteArray()), null);
-			case NOT_EXECUTED, MISDIRECTED -> failNotExecuted();
+			case NOT_EXECUTED -> failNotExecuted();
+			case MISDIRECTED -> failMisdirected();
 			default -> throw new IllegalStateException("unexpected end of a response of class " + this.replyKind);
 		}
 	}
@@ -396,12 +397,24 @@
 				"not executed, status " + this.head.status().code() + " by '" + nameOrAddress + "'", faulty), faulty);
 	}
 
+	// The home may still list the endpoint that had the address before. The answering
+	// endpoint also passes on that a helper is another one.
+	private void failMisdirected() {
+		String nameOrAddress = this.run.service().protocol().faultyEndpoint(this.head);
+		if (this.endpoints.findHelper(nameOrAddress) != null) {
+			failNotExecuted();
+			return;
+		}
+		fail(AttemptFailure.notReceived("another endpoint is at the address, status " + this.head.status().code()),
+				endpoint());
+	}
+
 	@Override
 	public void fail(HttpExchanger.ExchangeException failure) {
 		if (!this.ended) {
 			AttemptFailure attemptFailure = failure.isSent()
 					? AttemptFailure.executionUnknown(failure.getMessage(), true)
-					: AttemptFailure.notExecuted(failure.getMessage(), null);
+					: AttemptFailure.notReceived(failure.getMessage());
 			fail(attemptFailure, failure.isSent() ? null : endpoint());
 		}
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -45,6 +45,12 @@
 	 */
 	private static final long BACK_OFF_SPREAD_MILLIS = 500;
 
+	/**
+	 * Endpoints that have ended without notice are listed for some seconds, so several of
+	 * them may be granted before one that runs.
+	 */
+	private static final int MAX_UNRECEIVED_ATTEMPTS = 4;
+
 	private static final long NOT_MEASURED = -1;
 
 	private static final TeamId PUBLIC_TEAM = TeamId.of("public");
@@ -81,6 +87,9 @@
 
 	private int attemptCount;
 
+	/** Attempts that did not reach the endpoint that was granted for them. */
+	private int unreceivedCount;
+
 	private boolean mayHaveRun;
 
 	private AttemptFailure endpointFailure;
@@ -200,6 +209,11 @@
 				Math.max(MIN_RETRY_AFTER_MILLIS, cause.retryAfterMillis()));
 	}
 
+	private boolean hasAttemptsLeft() {
+		return this.attemptCount - this.unreceivedCount < this.route.maxAttempts()
+				&& this.unreceivedCount <= MAX_UNRECEIVED_ATTEMPTS;
+	}
+
 	/**
 	 * Handles an attempt that ended without an answer: retries the request or fails it.
 	 * @param failed the attempt
@@ -208,6 +222,7 @@
 	void attemptFailed(RelayAttempt failed, AttemptFailure failure) {
 		this.attempt = null;
 		this.mayHaveRun |= failure.mayHaveRun();
+		this.unreceivedCount += failure.isReceived() ? 0 : 1;
 		this.excluded.add((failure.faultyEndpoint() != null) ? failure.faultyEndpoint() : failed.endpoint());
 		logger.info(
 				"request={} event=attempt_failed attempt={} endpoint={} lifetime={} exchange={} faulty={} mayHaveRun={}"
@@ -225,7 +240,7 @@
 		}
 		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable() && (!this.streamStarted
 				|| (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
-		if (mayRetry && this.attemptCount < this.route.maxAttempts() && this.service.trySpendRetry(this.serviceName)) {
+		if (mayRetry && hasAttemptsLeft() && this.service.trySpendRetry(this.serviceName)) {
 			acquireGrant();
 			return;
 		}
