--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/CapacityExperiment.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/CapacityExperiment.java
@@ -318,7 +318,7 @@
 			loads.add(new Message.ShardLoad(i, shardStatus(i).summary()));
 		}
 		return new Message.Heartbeat(1_796_000_000_000L, 123_456, 654_321, 987_654_321_987L, loads, TABLE_POSITION,
-				TABLE_POSITION);
+				TABLE_POSITION, null);
 	}
 
 	private static Message gossip(int members, int shards) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/RendezvousHashing.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/RendezvousHashing.java
@@ -1,6 +1,11 @@
 package org.poplarloom.core.process;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -35,6 +40,21 @@
 		return Optional.ofNullable(best);
 	}
 
+	/**
+	 * Orders members by their weights for a key.
+	 * @param <T> the type of the members
+	 * @param key the key
+	 * @param members the members; their string representations must differ
+	 * @return the members, the one that {@link #choose} would choose first
+	 */
+	public static <T> List<T> order(String key, Collection<T> members) {
+		Map<T, Long> weights = new HashMap<>();
+		members.forEach((member) -> weights.put(member, weight(key, member.toString())));
+		List<T> ordered = new ArrayList<>(members);
+		ordered.sort(Comparator.<T>comparingLong(weights::get).reversed());
+		return ordered;
+	}
+
 	private static long weight(String key, String member) {
 		long hash = 0xcbf29ce484222325L;
 		hash = mix(hash, key);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -80,6 +80,8 @@
 
 	private volatile TableFollower endpointTable;
 
+	private volatile TableReading reading;
+
 	private long awaitedOffset = Publication.NO_OFFSET;
 
 	private long awaitedSinceMillis;
@@ -107,10 +109,12 @@
 	 * that peers which are behind fetch what they lack.
 	 * @param operators the follower of the operators' table
 	 * @param endpoints the follower of the endpoints' table
+	 * @param tableReading who reads the tables for this instance
 	 */
-	public void announce(TableFollower operators, TableFollower endpoints) {
+	void announce(TableFollower operators, TableFollower endpoints, TableReading tableReading) {
 		this.operatorTable = operators;
 		this.endpointTable = endpoints;
+		this.reading = tableReading;
 	}
 
 	private static TablePosition position(TableFollower table) {
@@ -135,8 +139,7 @@
 		this.membership.removeSilent(SILENT_MEMBER_RETENTION_MILLIS, now);
 		this.crashes.expire(now);
 		List<Member> sameZone = this.membership.live(this.settings.zone(), now);
-		if (now - this.lastHeartbeatMillis >= Math.max(TICK_MILLIS,
-				HEARTBEAT_PERIOD_MILLIS_PER_MEMBER * sameZone.size()) - TICK_MILLIS / 2) {
+		if (now - this.lastHeartbeatMillis >= heartbeatPeriodMillis(sameZone.size()) - TICK_MILLIS / 2) {
 			this.lastHeartbeatMillis = now;
 			sendHeartbeats(sameZone);
 		}
@@ -147,7 +150,23 @@
 		}
 	}
 
+	// Others rely on the ages that a reader of the platform's tables names.
+	private long heartbeatPeriodMillis(int members) {
+		TableReading tableReading = this.reading;
+		return (tableReading != null && tableReading.isReader()) ? TICK_MILLIS
+				: Math.max(TICK_MILLIS, HEARTBEAT_PERIOD_MILLIS_PER_MEMBER * members);
+	}
+
+	/**
+	 * Sends heartbeats to all members of the zone, for news of the sender's copies of the
+	 * platform's tables.
+	 */
+	void sendHeartbeats() {
+		sendHeartbeats(this.membership.live(this.settings.zone(), this.clock.nowMillis()));
+	}
+
 	private void sendHeartbeats(List<Member> sameZone) {
+		TableReading tableReading = this.reading;
 		Member self = this.membership.heartbeat();
 		List<Message.ShardLoad> loads = new ArrayList<>();
 		for (ShardStatus status : this.homes.statuses()) {
@@ -155,7 +174,8 @@
 		}
 		Message heartbeat = new Message.Heartbeat(self.incarnation(), self.heartbeat(),
 				this.activeConfiguration.configuration().offset(), this.activeConfiguration.configuration().digest(),
-				loads, position(this.operatorTable), position(this.endpointTable));
+				loads, position(this.operatorTable), position(this.endpointTable),
+				(tableReading != null) ? tableReading.copies() : null);
 		for (Member member : sameZone) {
 			if (!member.id().equals(self.id())) {
 				this.peers.send(member.id(), member.address(), heartbeat);
@@ -264,6 +284,9 @@
 				this.membership.mergeShards(statuses, now);
 				fetchIfNewer(member, heartbeat.offset());
 				handleTablePositions(member, heartbeat.operatorTable(), heartbeat.endpointTable());
+				if (this.reading != null) {
+					this.reading.receive(member.id(), member.address(), heartbeat);
+				}
 			});
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -260,7 +260,7 @@
 			reply.accept(versionReply(query.publicationId()));
 		}
 		else if (message instanceof Message.TableFetch fetch && this.tableFollowers.containsKey(fetch.table())) {
-			reply.accept(this.tableFollowers.get(fetch.table()).handleFetch(fetch.from()));
+			reply.accept(this.tableFollowers.get(fetch.table()).handleFetch(fetch));
 		}
 		else if (message instanceof Message.TableNotice notice && this.tableFollowers.containsKey(notice.table())) {
 			this.instances.address(peer)
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ReadTiming.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/ReadTiming.java
@@ -12,6 +12,21 @@
  */
 public record ReadTiming(long waitMillis, long minPauseMillis, long maxPauseMillis) {
 
+	/** The table is not read; peers have the records. */
+	public static final ReadTiming NONE = of(0, Long.MAX_VALUE / 4);
+
+	/**
+	 * The shortest time from the start of a read that fails to the next one: the store
+	 * can serve only some hundred calls a second from all instances.
+	 */
+	private static final long RETRY_PERIOD_MILLIS = 400;
+
+	/**
+	 * The same at an instance that is not to read, whose calls only show when the store
+	 * can be reached again.
+	 */
+	private static final long PROBE_PERIOD_MILLIS = 2_000;
+
 	/**
 	 * Returns a timing with constant pauses.
 	 * @param waitMillis how long a read waits for a record, in milliseconds
@@ -31,6 +46,18 @@
 		return new ReadTiming(0, meanPauseMillis / 2, meanPauseMillis * 3 / 2);
 	}
 
+	boolean isNone() {
+		return equals(NONE);
+	}
+
+	/**
+	 * Returns when a read that fails is repeated.
+	 * @return the shortest time between the starts of the two reads, in milliseconds
+	 */
+	long retryMillis() {
+		return isNone() ? PROBE_PERIOD_MILLIS : RETRY_PERIOD_MILLIS;
+	}
+
 	long pauseMillis(double fraction) {
 		return this.minPauseMillis + (long) (fraction * (this.maxPauseMillis - this.minPauseMillis));
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -102,13 +102,15 @@
 		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new,
 				NodeRuntime.shared(settings, this.group));
 		HttpExchanger exchanger = new HttpExchanger(this.loop);
-		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
+		CountingStore countedStore = new CountingStore(new StoreClient(this.loop, exchanger, platform.storeAddress()));
+		this.store = countedStore;
 		MemoryBudget memory = new MemoryBudget(settings.bodyBudgetBytes());
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
 				memory, new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
 		this.node.observeLeaving((endpoint, bootId) -> this.relay.recordLeaving(endpoint, bootId));
 		this.metrics = this.relay.metrics();
 		this.metrics.registerGauge("connections.opened", exchanger::openedConnections);
+		this.metrics.registerGauge("store.calls", countedStore::calls);
 		this.metrics.registerGauge("connections.unexpected_data", exchanger::connectionsWithUnexpectedData);
 		this.metrics.registerGauge("memory.held_bytes", memory::heldBytes);
 		this.metrics.registerGauge("memory.capacity_bytes", memory::capacityBytes);
@@ -140,6 +142,8 @@
 		this.metrics.registerGauge("configuration.age_ms", this.tables::operatorsAgeMillis);
 		this.metrics.registerGauge("configuration.findings", this.tables::configurationFindings);
 		this.metrics.registerGauge("configuration.unreadable", this.tables::unreadableConfigurations);
+		this.metrics.registerGauge("tables.is_reader", () -> this.tables.reading().isReading() ? 1L : 0L);
+		this.metrics.registerGauge("tables.age_ms", this.tables.reading()::ageMillis);
 		this.tables.start();
 		this.callerServer.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.callerAddress = this.callerServer.listenForCallers(this.platform.callerAddress());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -5,10 +5,12 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -50,36 +52,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayTables.class);
 
-	/**
-	 * The pause after a read of the operators' table, which itself waits for a record.
-	 */
-	private static final long OPERATOR_PAUSE_MILLIS = 20;
-
-	/** The waits and pauses of small deployments. */
-	private static final long MIN_OPERATOR_WAIT_MILLIS = 4_000;
-
-	private static final long MIN_ENDPOINT_PAUSE_MILLIS = 4_000;
-
-	private static final long MIN_STATUS_PAUSE_MILLIS = 8_000;
-
-	/** The store's reads grow slower than the number of instances up to this number. */
-	private static final int MAX_STRETCHING_INSTANCES = 50;
-
-	private static final long OPERATOR_WAIT_MILLIS_PER_INSTANCE = 300;
-
-	private static final long ENDPOINT_PAUSE_MILLIS_PER_INSTANCE = 200;
-
-	private static final long STATUS_PAUSE_MILLIS_PER_INSTANCE = 400;
-
-	/**
-	 * Bounds the time after which an instance of each zone notices that a read was lost,
-	 * even if an outage has hit the reads of all instances.
-	 */
-	private static final ReadTiming HOME_OPERATOR_TIMING = ReadTiming.of(900, OPERATOR_PAUSE_MILLIS);
-
-	/** A home must stop granting an endpoint within 2 s after it starts to drain. */
-	private static final ReadTiming HOME_ENDPOINT_TIMING = ReadTiming.of(0, 900);
-
 	/** Shorter than the 5 s after which an evacuation must be in force. */
 	private static final TableCopy.RestoreGrace OPERATOR_GRACE = new TableCopy.RestoreGrace(3_000, 3_000);
 
@@ -127,6 +99,8 @@
 	/** Seeded, so that simulations repeat. */
 	private final Random random;
 
+	private final TableReading reading;
+
 	private volatile TableFollower operatorTable;
 
 	private TableFollower endpointTable;
@@ -168,6 +142,7 @@
 		this.node = node;
 		this.scheduler = scheduler;
 		this.random = new Random(identity.own().id().hashCode());
+		this.reading = new TableReading(node, entries, scheduler);
 	}
 
 	/**
@@ -175,10 +150,11 @@
 	 */
 	void start() {
 		this.operatorTable = follow(Tables.OPERATORS, new TableCopy(new OperatorRecordOrder(), OPERATOR_GRACE),
-				this::operatorTiming, NOTIFIED_PEERS, this::applyOperatorRecords);
+				this.reading.timings()::operators, NOTIFIED_PEERS, this::applyOperatorRecords);
 		this.endpointTable = follow(Tables.WORKERS, new TableCopy(new EndpointRecordOrder(), ENDPOINT_GRACE),
-				this::endpointTiming, NOTIFIED_PEERS, this::applyEndpointRecords);
-		this.node.gossiper().announce(this.operatorTable, this.endpointTable);
+				this.reading.timings()::endpoints, NOTIFIED_PEERS, this::applyEndpointRecords);
+		this.reading.start(this.operatorTable, this.endpointTable);
+		this.node.gossiper().announce(this.operatorTable, this.endpointTable, this.reading);
 		publishOwnEntry();
 		allowTakeOverAfter(MAX_DISCOVERY_MILLIS);
 	}
@@ -187,6 +163,14 @@
 		this.scheduler.schedule(this.node.localHomes()::allowTakeOver, delayMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns who reads the tables for this instance.
+	 * @return the state of the reads
+	 */
+	TableReading reading() {
+		return this.reading;
+	}
+
 	/**
 	 * Stops to publish this instance's entry again.
 	 */
@@ -204,31 +188,6 @@
 		return (table != null) ? table.ageMillis() : 0;
 	}
 
-	// Heartbeats name newer records, so in a large deployment each instance may wait
-	// longer.
-	private ReadTiming operatorTiming() {
-		return this.node.localHomes().isEmpty() ? ReadTiming
-			.of(stretched(MIN_OPERATOR_WAIT_MILLIS, OPERATOR_WAIT_MILLIS_PER_INSTANCE), OPERATOR_PAUSE_MILLIS)
-				: HOME_OPERATOR_TIMING;
-	}
-
-	// An instance that is no home keeps its copy recent enough to become one quickly.
-	private ReadTiming endpointTiming() {
-		return this.node.localHomes().isEmpty()
-				? ReadTiming.spread(stretched(MIN_ENDPOINT_PAUSE_MILLIS, ENDPOINT_PAUSE_MILLIS_PER_INSTANCE))
-				: HOME_ENDPOINT_TIMING;
-	}
-
-	// Instances that are not in the table yet introduce themselves to those that are.
-	private ReadTiming statusTiming() {
-		return ReadTiming.of(0, stretched(MIN_STATUS_PAUSE_MILLIS, STATUS_PAUSE_MILLIS_PER_INSTANCE));
-	}
-
-	private long stretched(long minMillis, long millisPerInstance) {
-		int instances = Math.min(MAX_STRETCHING_INSTANCES, this.entries.instanceCount());
-		return Math.max(minMillis, instances * millisPerInstance);
-	}
-
 	private TableFollower follow(String table, TableCopy copy, Supplier<ReadTiming> timing, int notifiedPeers,
 			Consumer<List<KeyedTablePort.Entry>> listener) {
 		TableFollower follower = new TableFollower(table, copy, this.store, timing, this.scheduler,
@@ -278,8 +237,8 @@
 		}
 		this.instancesFollowed = true;
 		RecordOrder alwaysNewer = (restored, known) -> false;
-		follow(Tables.STATUS, new TableCopy(alwaysNewer, INSTANCE_GRACE), this::statusTiming, 0,
-				this::applyInstanceRecords);
+		this.reading.include(follow(Tables.STATUS, new TableCopy(alwaysNewer, INSTANCE_GRACE),
+				this.reading.timings()::instances, 0, this::applyInstanceRecords));
 	}
 
 	private void applyInstanceRecords(List<KeyedTablePort.Entry> records) {
@@ -460,9 +419,15 @@
 		public void notifySome(Message notice) {
 			List<String> addresses = new ArrayList<>(RelayTables.this.entries.peerAddresses(ownAddress()));
 			Collections.shuffle(addresses, RelayTables.this.random);
-			addresses.stream()
-				.limit(this.notifiedPeers)
-				.forEach((address) -> RelayTables.this.node.network().send(address, notice));
+			Set<String> notified = new LinkedHashSet<>(
+					addresses.subList(0, Math.min(this.notifiedPeers, addresses.size())));
+			if (RelayTables.this.reading.notifiesZone()) {
+				RelayTables.this.node.membership()
+					.allLive(RelayTables.this.node.clock().nowMillis())
+					.forEach((member) -> notified.add(member.address()));
+				notified.remove(ownAddress());
+			}
+			notified.forEach((address) -> RelayTables.this.node.network().send(address, notice));
 		}
 
 		private String ownAddress() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -33,28 +33,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(TableFollower.class);
 
-	/**
-	 * The shortest time from the start of a read that fails to the next one: the store
-	 * can serve only some hundred calls a second from all instances.
-	 */
-	private static final long RETRY_PERIOD_MILLIS = 400;
-
 	private static final long TIMING_CHECK_MILLIS = 250;
 
-	/**
-	 * Leaves the platform time to deliver records that a peer has already read before
-	 * they are fetched from that peer.
-	 */
-	private static final long PEER_FETCH_DELAY_MILLIS = 150;
-
-	private static final long PEER_FETCH_PERIOD_MILLIS = 300;
-
-	/** A peer that still names the offset starts the attempts again. */
-	private static final int MAX_PEER_FETCHES = 10;
-
-	/** While the platform cannot be read, peers are queried this often. */
-	private static final long PEER_QUERY_PERIOD_MILLIS = 400;
-
 	/** A copy is read again for a peer if its last read is at least this old. */
 	private static final long MIN_REFRESH_AGE_MILLIS = 400;
 
@@ -85,8 +65,13 @@
 
 	private long readStartMillis;
 
+	private long readWaitMillis;
+
 	private boolean readInProgress;
 
+	/** Whether the next read is to confirm the copy at once, without a wait. */
+	private boolean confirmationDue;
+
 	private long lastReadMillis;
 
 	/** Where the current pause lies between the shortest and the longest, 0 to 1. */
@@ -94,18 +79,16 @@
 
 	private volatile long confirmedMillis;
 
+	/** When the platform itself last confirmed the copy, 0 if never. */
+	private volatile long readMillis;
+
 	private long readNumber;
 
 	private ScheduledFuture<?> pendingRead;
 
-	private ScheduledFuture<?> pendingQuery;
-
 	private ScheduledFuture<?> pendingDeferred;
 
-	private TablePosition awaited = TablePosition.NONE;
-
-	/** The address of the last peer that has named the awaited position. */
-	private String informant = "";
+	private final PeerFetches fetches;
 
 	/**
 	 * Creates a follower, which does nothing until it is started.
@@ -133,6 +116,7 @@
 		this.clock = clock;
 		this.random = random;
 		this.confirmedMillis = clock.nowMillis();
+		this.fetches = new PeerFetches(table, copy, peers, scheduler, new Reads());
 	}
 
 	/**
@@ -158,6 +142,8 @@
 			this.pendingRead.cancel(false);
 		}
 		this.readStartMillis = this.clock.nowMillis();
+		this.readWaitMillis = from.equals(TablePosition.NONE) ? 0 : waitMillis();
+		this.confirmationDue = false;
 		this.readInProgress = true;
 		startRead(from).whenCompleteAsync((read, failure) -> {
 			if (number != this.readNumber) {
@@ -177,7 +163,7 @@
 	private CompletableFuture<Page> startRead(TablePosition from) {
 		try {
 			return from.equals(TablePosition.NONE) ? this.port.readNewest(this.table)
-					: this.port.read(this.table, from, waitMillis());
+					: this.port.read(this.table, from, this.readWaitMillis);
 		}
 		catch (RuntimeException ex) {
 			return CompletableFuture.failedFuture(ex);
@@ -187,7 +173,7 @@
 	// During an outage, a read that waits would notice only after the wait that it was
 	// lost too.
 	private long waitMillis() {
-		return this.unavailable ? 0 : this.timing.get().waitMillis();
+		return (this.unavailable || this.confirmationDue) ? 0 : this.timing.get().waitMillis();
 	}
 
 	private void handleRead(TablePosition from, Page page, Throwable failure) {
@@ -197,7 +183,8 @@
 			return;
 		}
 		recordSuccess();
-		this.confirmedMillis = this.clock.nowMillis();
+		this.readMillis = this.clock.nowMillis();
+		confirm(this.readMillis);
 		if (from.equals(TablePosition.NONE)) {
 			applySnapshot(page);
 		}
@@ -231,8 +218,36 @@
 		}, this.scheduler);
 	}
 
+	/**
+	 * Follows a timing that has changed at once: a read that waits for longer than the
+	 * new timing says is replaced by one that does not wait, since others rely on the age
+	 * of the copy. Called on the scheduler's thread.
+	 */
+	void followTiming() {
+		ReadTiming now = this.timing.get();
+		this.confirmationDue = true;
+		if (this.readInProgress) {
+			if (!now.isNone() && this.readWaitMillis > now.waitMillis()) {
+				readNext();
+			}
+			return;
+		}
+		if (this.pendingRead != null) {
+			this.pendingRead.cancel(false);
+		}
+		if (this.unavailable) {
+			retryWhenDue();
+		}
+		else {
+			readWhenDue();
+		}
+	}
+
 	// The timing may change during the pause, so it is checked periodically.
 	private void readWhenDue() {
+		if (this.timing.get().isNone()) {
+			return;
+		}
 		long remainingMillis = this.lastReadMillis + this.timing.get().pauseMillis(this.pauseFraction)
 				- this.clock.nowMillis();
 		if (remainingMillis <= 0) {
@@ -246,7 +261,7 @@
 
 	private void retryWhenDue() {
 		if (!this.scheduler.isShutdown()) {
-			long delayMillis = this.readStartMillis + RETRY_PERIOD_MILLIS - this.clock.nowMillis();
+			long delayMillis = this.readStartMillis + this.timing.get().retryMillis() - this.clock.nowMillis();
 			this.pendingRead = this.scheduler.schedule(this::readNext, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
 		}
 	}
@@ -314,37 +329,8 @@
 	 */
 	public void handlePeerPosition(String address, TablePosition peerNext) {
 		if (peerNext.isAfter(this.copy.next())) {
-			this.scheduler.execute(() -> awaitPosition(address, peerNext));
-		}
-	}
-
-	// The last peer that has named the position is the most likely one to be reachable.
-	private void awaitPosition(String address, TablePosition position) {
-		if (!this.awaited.isAfter(position)) {
-			this.informant = address;
-		}
-		if (position.isAfter(this.awaited)) {
-			this.awaited = position;
-			this.scheduler.schedule(() -> fetchAwaited(position, 0), PEER_FETCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-		}
-	}
-
-	private void fetchAwaited(TablePosition position, int fetches) {
-		TablePosition next = this.copy.next();
-		if (!position.isAfter(next) || fetches >= MAX_PEER_FETCHES || this.scheduler.isShutdown()) {
-			if (this.awaited.equals(position)) {
-				this.awaited = TablePosition.NONE;
-			}
-			return;
-		}
-		boolean asksInformant = fetches % 2 == 0;
-		fetch(() -> asksInformant ? this.peers.query(this.informant, fetchMessage())
-				: this.peers.queryAny(fetchMessage()));
-		if (fetches == 0 && (this.readInProgress || position.isInOtherEraThan(next))) {
-			readNext();
+			this.scheduler.execute(() -> this.fetches.await(address, peerNext));
 		}
-		this.scheduler.schedule(() -> fetchAwaited(position, fetches + 1), PEER_FETCH_PERIOD_MILLIS,
-				TimeUnit.MILLISECONDS);
 	}
 
 	private void recordFailure(Throwable failure) {
@@ -352,18 +338,7 @@
 			this.unavailable = true;
 			logger.warn("table={} event=platform_lost position={} cause=\"{}\"", this.table, this.copy.next(),
 					failure.getMessage());
-			queryPeers();
-		}
-	}
-
-	private void queryPeers() {
-		if (this.pendingQuery != null) {
-			this.pendingQuery.cancel(false);
-		}
-		if (this.unavailable && !this.scheduler.isShutdown()) {
-			fetch(() -> this.peers.queryAny(fetchMessage()));
-			this.pendingQuery = this.scheduler.schedule(this::queryPeers, PEER_QUERY_PERIOD_MILLIS,
-					TimeUnit.MILLISECONDS);
+			this.fetches.queryWhileUnavailable();
 		}
 	}
 
@@ -375,76 +350,36 @@
 		}
 	}
 
-	private Message fetchMessage() {
-		return new Message.TableFetch(this.table, this.copy.next());
-	}
-
-	private void fetch(Supplier<CompletableFuture<Message>> query) {
-		CompletableFuture<Message> reply;
-		try {
-			reply = query.get();
-		}
-		catch (RuntimeException ex) {
-			logger.warn("table={} event=peer_query_failed cause=\"{}\"", this.table, ex.toString());
-			return;
-		}
-		reply.whenCompleteAsync((message, failure) -> {
-			TablePosition before = this.copy.next();
-			if (message instanceof Message.TableContent content && content.next().isAfter(before)) {
-				List<Entry> entries = content.records().stream().map(TableFollower::toEntry).toList();
-				logger.info("table={} event=learnt_from_peer records={} position={} age_ms={}", this.table,
-						entries.size(), content.next(), ageMillis());
-				apply(this.copy.merge(entries, positionAfter(content, before), this.clock.nowMillis()), before);
-			}
-		}, this.scheduler);
-	}
-
-	// What a peer sends does not show which keys a restore removed, so the table is still
-	// to be read in the new era.
-	private static TablePosition positionAfter(Message.TableContent content, TablePosition before) {
-		boolean isRestored = !before.equals(TablePosition.NONE) && content.next().isInOtherEraThan(before);
-		return isRestored ? before : content.next();
-	}
-
-	private static Entry toEntry(Message.TableRecord message) {
-		return new Entry(message.key(), message.value().getBytes(StandardCharsets.UTF_8), message.position());
-	}
-
 	/**
 	 * Returns the records that a peer lacks.
 	 * <p>
 	 * A peer that knows as much as this instance probably cannot read the platform, so
 	 * the table is read again unless that was done recently. What the read returns is
-	 * announced like all other records.
-	 * @param from the position after the last record that the peer has
-	 * @return the message of {@link #recordsSince(TablePosition)}
+	 * announced like all other records. An instance that is not to read leaves that to
+	 * others.
+	 * @param fetch the request of the peer
+	 * @return the newest record of each key that changed from the position on that the
+	 * peer names
 	 */
-	public Message handleFetch(TablePosition from) {
-		if (!this.copy.next().isAfter(from)) {
+	public Message handleFetch(Message.TableFetch fetch) {
+		if (!this.copy.next().isAfter(fetch.from())) {
 			this.scheduler.execute(this::refresh);
 		}
-		return recordsSince(from);
+		TablePosition next = this.copy.next();
+		List<Message.TableRecord> found = this.copy.recordsSince(fetch.from())
+			.stream()
+			.map(TableFollower::toMessage)
+			.toList();
+		return new Message.TableContent(this.table, next, found, fetch.acceptsCompressed());
 	}
 
 	private void refresh() {
 		boolean isRecent = this.clock.nowMillis() - this.lastReadMillis < MIN_REFRESH_AGE_MILLIS;
-		if (!this.readInProgress && !this.unavailable && !isRecent) {
+		if (!this.readInProgress && !this.unavailable && !isRecent && !this.timing.get().isNone()) {
 			readNext();
 		}
 	}
 
-	/**
-	 * Returns the records that a peer lacks.
-	 * @param from the position after the last record that the peer has
-	 * @return a message with the newest record of each key that changed from that
-	 * position on
-	 */
-	public Message recordsSince(TablePosition from) {
-		TablePosition next = this.copy.next();
-		List<Message.TableRecord> found = this.copy.recordsSince(from).stream().map(TableFollower::toMessage).toList();
-		return new Message.TableContent(this.table, next, found);
-	}
-
 	private static Message.TableRecord toMessage(Entry entry) {
 		return new Message.TableRecord(entry.key(), new String(entry.value(), StandardCharsets.UTF_8),
 				entry.position());
@@ -467,7 +402,26 @@
 	}
 
 	/**
-	 * Returns how long ago the platform last confirmed that the copy is complete.
+	 * Records that the copy was complete at a time, which a peer has learnt from the
+	 * platform. Called on the scheduler's thread.
+	 * @param millis the time in milliseconds since the epoch
+	 */
+	void confirm(long millis) {
+		this.confirmedMillis = Math.max(this.confirmedMillis, millis);
+	}
+
+	/**
+	 * Returns how long ago a read of this instance last confirmed that the copy is
+	 * complete.
+	 * @return the age in milliseconds, the time since the epoch if none did
+	 */
+	long readAgeMillis() {
+		return Math.max(0, this.clock.nowMillis() - this.readMillis);
+	}
+
+	/**
+	 * Returns how long ago the platform last confirmed that the copy is complete, to this
+	 * instance or to a peer that has told it.
 	 * @return the age in milliseconds, 0 or more
 	 */
 	public long ageMillis() {
@@ -490,4 +444,42 @@
 		return this.recoveredMillis;
 	}
 
+	/**
+	 * The reads, as the fetches from peers see them.
+	 */
+	private final class Reads implements PeerFetches.Reads {
+
+		@Override
+		public boolean areScheduled() {
+			return !TableFollower.this.timing.get().isNone();
+		}
+
+		@Override
+		public boolean isInProgress() {
+			return TableFollower.this.readInProgress;
+		}
+
+		@Override
+		public boolean areFailing() {
+			return TableFollower.this.unavailable;
+		}
+
+		@Override
+		public void readNow() {
+			readNext();
+		}
+
+		@Override
+		public void merge(List<Entry> records, TablePosition next) {
+			TablePosition before = TableFollower.this.copy.next();
+			apply(TableFollower.this.copy.merge(records, next, TableFollower.this.clock.nowMillis()), before);
+		}
+
+		@Override
+		public long ageMillis() {
+			return TableFollower.this.ageMillis();
+		}
+
+	}
+
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TablePeers.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TablePeers.java
@@ -27,7 +27,8 @@
 	CompletableFuture<Message> query(String address, Message query);
 
 	/**
-	 * Sends a message to a few random instances.
+	 * Sends a message to a few random instances, and to all members of the zone if they
+	 * rely on the reads of this instance.
 	 * @param notice the message
 	 */
 	void notifySome(Message notice);
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
@@ -37,9 +38,10 @@
  * Instances of several zones and the platform's store in one thread and in virtual time.
  * <p>
  * Nodes, membership, gossip and tables are the real ones; only the connections and the
- * store are replaced. Zones can be silenced, answers of the store can be lost, and the
- * store can be silent towards all instances or refuse the calls of some. The same seed
- * gives the same run. This class is not thread-safe.
+ * store are replaced. Zones can be silenced, answers of the store and notices can be
+ * lost, and the store can be silent towards all or some instances or refuse the calls of
+ * some. Instances can be killed, frozen, restarted and cut off from each other. The same
+ * seed gives the same run. This class is not thread-safe.
  */
 final class SimulatedFleet {
 
@@ -70,8 +72,18 @@
 
 	private final Map<String, Long> sentMessages = new TreeMap<>();
 
+	private final Settings.TableReaders tableReaders;
+
+	private final Map<String, Long> firstOffsets = new HashMap<>();
+
+	private BiPredicate<Instance, Instance> links = (from, to) -> true;
+
 	private double lostAnswerRatio;
 
+	private double lostNoticeRatio;
+
+	private long storeCalls;
+
 	private boolean storeSilent;
 
 	private int outages;
@@ -81,6 +93,11 @@
 	private long elapsedMillis;
 
 	SimulatedFleet(long seed) {
+		this(seed, Settings.TableReaders.ALL);
+	}
+
+	SimulatedFleet(long seed, Settings.TableReaders tableReaders) {
+		this.tableReaders = tableReaders;
 		this.random = new Random(seed);
 		this.channel.freezeTime();
 	}
@@ -109,6 +126,49 @@
 		this.lostAnswerRatio = ratio;
 	}
 
+	void loseNotices(double ratio) {
+		this.lostNoticeRatio = ratio;
+	}
+
+	/**
+	 * Returns the number of calls that the store has received or would have received.
+	 * @return the count since the start
+	 */
+	long storeCalls() {
+		return this.storeCalls;
+	}
+
+	/**
+	 * Cuts links between instances.
+	 * @param newLinks whether messages of the first instance reach the second
+	 */
+	void setLinks(BiPredicate<Instance, Instance> newLinks) {
+		this.links = newLinks;
+	}
+
+	/**
+	 * Drops the records of a table that are known to no instance but are not the newest
+	 * of their keys, as the store does after some time. Reads from before fail.
+	 * @param table the table
+	 */
+	void dropHistory(String table) {
+		this.firstOffsets.put(table, (long) this.tables.getOrDefault(table, List.of()).size());
+	}
+
+	/**
+	 * Replaces an instance by a new process with the same name and address.
+	 * @param instance the instance, which is killed if it lives
+	 * @return the new instance
+	 */
+	Instance restart(Instance instance) {
+		instance.kill();
+		Instance next = new Instance(instance.settings.instance().value(), instance.zone, instance.settings.host());
+		this.instances.set(this.instances.indexOf(instance), next);
+		this.instancesByAddress.put(next.address, next);
+		next.start();
+		return next;
+	}
+
 	/**
 	 * Silences the store. Calls that are in progress or arrive while it is silent are
 	 * never answered.
@@ -141,6 +201,7 @@
 		this.tables.clear();
 		copy.forEach((table, records) -> this.tables.put(table, new ArrayList<>(records)));
 		this.waitingReads.clear();
+		this.firstOffsets.clear();
 		this.era++;
 	}
 
@@ -216,9 +277,13 @@
 		this.channel.eventLoop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
 	}
 
+	private boolean isDropped(String table, long from) {
+		return from > 0 && from < this.firstOffsets.getOrDefault(table, 0L);
+	}
+
 	private KeyedTablePort.Page page(String table, long from) {
 		List<KeyedTablePort.Entry> records = this.tables.getOrDefault(table, List.of());
-		if (from > records.size()) {
+		if (from > records.size() || isDropped(table, from)) {
 			return new KeyedTablePort.Page(TablePosition.of(this.era, from), true, List.of());
 		}
 		List<KeyedTablePort.Entry> found = records.subList((int) from, records.size())
@@ -233,15 +298,20 @@
 		boolean isLost = this.random.nextDouble() < this.lostAnswerRatio || this.storeSilent;
 		int outagesBefore = this.outages;
 		schedule(() -> {
-			if (!isLost && outagesBefore == this.outages && !caller.storeUnreachable
-					&& !this.silentZones.contains(caller.zone)) {
-				result.complete(answer);
+			if (!isLost && outagesBefore == this.outages && caller.canReachStore()) {
+				caller.receive(() -> result.complete(answer));
 			}
 		}, STORE_DELAY_MILLIS);
 	}
 
 	private <T> CompletableFuture<T> newCall(Instance caller, long waitMillis) {
 		CompletableFuture<T> result = new CompletableFuture<>();
+		if (caller.isDead) {
+			return result;
+		}
+		if (!caller.isFrozen) {
+			this.storeCalls++;
+		}
 		if (caller.storeUnreachable) {
 			schedule(() -> result.completeExceptionally(new ConnectException("cannot connect")), STORE_DELAY_MILLIS);
 			return result;
@@ -281,12 +351,23 @@
 
 		private boolean storeUnreachable;
 
+		private boolean storeSilent;
+
+		private boolean isDead;
+
+		private boolean isFrozen;
+
+		/** What arrives while the process does not run. */
+		private final List<Runnable> held = new ArrayList<>();
+
+		private RelayTables tables;
+
 		private Instance(String id, String zone, String host) {
 			this.zone = zone;
 			this.address = host + ":1";
 			this.settings = new Settings(InstanceId.of(id), AvailabilityZone.of(zone), host, 0, 1, "", "",
 					"0123456789abcdef", "", 1, 1_600, 1_000, new ColdStartRamp.Settings(6, 500, 500), 0, 2_000,
-					OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, Settings.Load.DEFAULT);
+					OwnerKey.none(), "none", 0, SimulatedFleet.this.tableReaders, Settings.Load.DEFAULT);
 			this.entries = new PublishedEntries(this.routing, this::nowMillis);
 			NodeRuntime runtime = new NodeRuntime(SimulatedFleet.this.channel.eventLoop(), this::nowMillis,
 					this::connect, () -> {
@@ -308,9 +389,65 @@
 			this.node.start();
 			ListedInstance own = new ListedInstance(this.settings.instance().value(), ListedInstance.ENTRY, this.zone,
 					this.address, false);
-			new RelayTables(new RelayTables.Identity(own, List.of()), this, this.routing, this.entries, this.node,
-					SimulatedFleet.this.channel.eventLoop())
-				.start();
+			this.tables = new RelayTables(new RelayTables.Identity(own, List.of()), this, this.routing, this.entries,
+					this.node, SimulatedFleet.this.channel.eventLoop());
+			this.tables.start();
+		}
+
+		/**
+		 * Ends the process without notice.
+		 */
+		void kill() {
+			this.isDead = true;
+			this.tables.stop();
+			this.node.close();
+		}
+
+		/**
+		 * Stops the process or lets it run again. What arrives in between is handled at
+		 * the end; what it would have sent in between is lost.
+		 * @param frozen whether the process is stopped from now on
+		 */
+		void setFrozen(boolean frozen) {
+			this.isFrozen = frozen;
+			if (!frozen) {
+				List<Runnable> arrived = new ArrayList<>(this.held);
+				this.held.clear();
+				arrived.forEach(Runnable::run);
+			}
+		}
+
+		private void receive(Runnable action) {
+			if (this.isFrozen) {
+				this.held.add(action);
+			}
+			else if (!this.isDead) {
+				action.run();
+			}
+		}
+
+		/**
+		 * Lets the store leave the calls of this instance without an answer.
+		 * @param isSilent whether it does so from now on
+		 */
+		void setStoreSilent(boolean isSilent) {
+			this.storeSilent = isSilent;
+			if (isSilent) {
+				SimulatedFleet.this.waitingReads.removeIf((read) -> read.reader == this);
+			}
+		}
+
+		private boolean canReachStore() {
+			return !this.storeUnreachable && !this.storeSilent && !this.isDead
+					&& !SimulatedFleet.this.silentZones.contains(this.zone);
+		}
+
+		boolean isAlive() {
+			return !this.isDead;
+		}
+
+		TableReading reading() {
+			return this.tables.reading();
 		}
 
 		String zone() {
@@ -374,7 +511,7 @@
 			schedule(() -> result.completeExceptionally(new TimeoutException("no reply")), timeoutMillis);
 			deliver(target, message, (reply) -> schedule(() -> {
 				if (isReachable(target)) {
-					result.complete(reply);
+					receive(() -> result.complete(reply));
 				}
 			}, PEER_DELAY_MILLIS));
 			return result;
@@ -383,17 +520,21 @@
 		private void deliver(String target, Message message, Consumer<Message> reply) {
 			SimulatedFleet.this.sentMessages
 				.merge(this.address + " " + target + " " + message.getClass().getSimpleName(), 1L, Long::sum);
+			boolean isLost = this.isFrozen
+					|| (message instanceof Message.TableNotice && SimulatedFleet.this.lostNoticeRatio > 0
+							&& SimulatedFleet.this.random.nextDouble() < SimulatedFleet.this.lostNoticeRatio);
 			schedule(() -> {
-				if (isReachable(target)) {
-					SimulatedFleet.this.instancesByAddress.get(target).handler.handle(this.settings.instance(), message,
-							reply);
+				if (!isLost && isReachable(target)) {
+					Instance peer = SimulatedFleet.this.instancesByAddress.get(target);
+					peer.receive(() -> peer.handler.handle(this.settings.instance(), message, reply));
 				}
 			}, PEER_DELAY_MILLIS);
 		}
 
 		private boolean isReachable(String target) {
 			Instance peer = SimulatedFleet.this.instancesByAddress.get(target);
-			return peer != null && !SimulatedFleet.this.silentZones.contains(this.zone)
+			return peer != null && !this.isDead && !peer.isDead && SimulatedFleet.this.links.test(this, peer)
+					&& !SimulatedFleet.this.silentZones.contains(this.zone)
 					&& !SimulatedFleet.this.silentZones.contains(peer.zone);
 		}
 
@@ -419,11 +560,14 @@
 			long from = position.offset();
 			CompletableFuture<Page> result = newCall(this, waitMillis);
 			Page page = page(table, from);
-			if (waitMillis == 0 || !page.records().isEmpty()) {
+			if (this.isFrozen) {
+				return result;
+			}
+			if (waitMillis == 0 || !page.records().isEmpty() || isDropped(table, from)) {
 				answerLater(this, result, page);
 				return result;
 			}
-			if (SimulatedFleet.this.storeSilent || this.storeUnreachable) {
+			if (SimulatedFleet.this.storeSilent || this.storeUnreachable || this.storeSilent) {
 				return result;
 			}
 			WaitingRead waiting = new WaitingRead(this, table, from, result);
@@ -440,7 +584,7 @@
 		public CompletableFuture<TablePosition> put(String table, String key, byte[] value) {
 			CompletableFuture<TablePosition> result = newCall(this, 0);
 			schedule(() -> {
-				if (!this.storeUnreachable && !SimulatedFleet.this.silentZones.contains(this.zone)) {
+				if (canReachStore() && !this.isFrozen) {
 					answerLater(this, result, TablePosition.of(SimulatedFleet.this.era,
 							SimulatedFleet.this.put(table, key, new String(value, StandardCharsets.UTF_8))));
 				}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableFollowerTests.java
@@ -72,7 +72,7 @@
 		this.isListenerFailing = false;
 		this.listenerFailure = null;
 		this.peerFailure = null;
-		this.peerReply = new Message.TableContent(TABLE, TablePosition.NONE, List.of());
+		this.peerReply = new Message.TableContent(TABLE, TablePosition.NONE, List.of(), true);
 		this.follower = new TableFollower(TABLE, new TableCopy((restored, known) -> true, GRACE), this.table,
 				() -> TIMING, this.scheduler, new SinglePeer(), this::receive, Clock.steady(), new Random(1));
 	}
@@ -176,12 +176,14 @@
 	public void queriesPeersOnWhateverFailsInBetween(Throwable failure) {
 		this.follower.start();
 		await(() -> this.follower.next().equals(at(0)));
-		this.peerReply = new Message.TableContent(TABLE, at(3), List.of(new Message.TableRecord("a", "3", at(2))));
+		this.peerReply = new Message.TableContent(TABLE, at(3), List.of(new Message.TableRecord("a", "3", at(2))),
+				true);
 		this.listenerFailure = failure;
 		this.peerFailure = new IllegalArgumentException("no address");
 		this.table.isUnavailable = true;
 		await(() -> this.listenerFailure == null);
-		this.peerReply = new Message.TableContent(TABLE, at(5), List.of(new Message.TableRecord("b", "5", at(4))));
+		this.peerReply = new Message.TableContent(TABLE, at(5), List.of(new Message.TableRecord("b", "5", at(4))),
+				true);
 		await(() -> "5".equals(this.received.get("b")));
 	}
 
@@ -207,7 +209,8 @@
 		this.table.put("a", "1");
 		this.follower.start();
 		await(() -> "1".equals(this.received.get("a")));
-		this.peerReply = new Message.TableContent(TABLE, at(7), List.of(new Message.TableRecord("a", "9", at(6))));
+		this.peerReply = new Message.TableContent(TABLE, at(7), List.of(new Message.TableRecord("a", "9", at(6))),
+				true);
 		this.table.isUnavailable = true;
 		await(() -> "9".equals(this.received.get("a")));
 		Assert.assertTrue(this.follower.isPlatformUnavailable());
@@ -221,7 +224,8 @@
 		this.table.put("a", "2");
 		this.follower.start();
 		await(() -> "2".equals(this.received.get("a")));
-		this.peerReply = new Message.TableContent(TABLE, at(9), List.of(new Message.TableRecord("a", "old", at(0))));
+		this.peerReply = new Message.TableContent(TABLE, at(9), List.of(new Message.TableRecord("a", "old", at(0))),
+				true);
 		this.table.isUnavailable = true;
 		await(() -> this.follower.next().equals(at(9)));
 		Assert.assertEquals(this.received.get("a"), "2");
@@ -232,7 +236,8 @@
 		this.table.put("a", "1");
 		this.follower.start();
 		await(() -> "1".equals(this.received.get("a")));
-		this.peerReply = new Message.TableContent(TABLE, at(3), List.of(new Message.TableRecord("a", "3", at(2))));
+		this.peerReply = new Message.TableContent(TABLE, at(3), List.of(new Message.TableRecord("a", "3", at(2))),
+				true);
 		this.follower.handlePeerPosition("peer:1", at(3));
 		await(() -> "3".equals(this.received.get("a")));
 	}
@@ -243,7 +248,8 @@
 		this.table.put("b", "2");
 		this.follower.start();
 		await(() -> this.received.size() == 2);
-		Message.TableContent content = (Message.TableContent) this.follower.recordsSince(at(1));
+		Message.TableContent content = (Message.TableContent) this.follower
+			.handleFetch(new Message.TableFetch(TABLE, at(1), true));
 		Assert.assertEquals(content.records(), List.of(new Message.TableRecord("b", "2", at(1))));
 		Assert.assertEquals(content.next(), at(2));
 	}
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -77,9 +77,11 @@
 	 * @param operatorTable the position after the last record that the sender has read of
 	 * the platform's table of operators
 	 * @param endpointTable the same of the platform's table of endpoints
+	 * @param copies the state of the sender's copies of the platform's tables, null if
+	 * every instance reads them
 	 */
 	record Heartbeat(long incarnation, long sequence, long offset, long digest, List<ShardLoad> loads,
-			TablePosition operatorTable, TablePosition endpointTable) implements Message {
+			TablePosition operatorTable, TablePosition endpointTable, TableCopies copies) implements Message {
 
 		public Heartbeat {
 			operatorTable = orNone(operatorTable);
@@ -88,6 +90,25 @@
 
 	}
 
+	/**
+	 * How current the sender's copies of the platform's tables are by its own reads.
+	 *
+	 * @param canReadStore whether the sender's last reads of the tables succeeded
+	 * @param operatorAgeMillis how long ago the sender's last read of the operators'
+	 * table confirmed its copy, in milliseconds
+	 * @param endpointAgeMillis the same of the table of endpoints
+	 * @param instanceTable the position after the last record that the sender knows of
+	 * the table of instances
+	 */
+	record TableCopies(boolean canReadStore, long operatorAgeMillis, long endpointAgeMillis,
+			TablePosition instanceTable) {
+
+		public TableCopies {
+			instanceTable = orNone(instanceTable);
+		}
+
+	}
+
 	/**
 	 * The load of one shard of the sender's zone.
 	 *
@@ -292,8 +313,9 @@
 	 *
 	 * @param table the name of the table
 	 * @param from the position after the last record that the sender has
+	 * @param acceptsCompressed whether the sender can read a compressed reply
 	 */
-	record TableFetch(String table, TablePosition from) implements Message {
+	record TableFetch(String table, TablePosition from, boolean acceptsCompressed) implements Message {
 
 		public TableFetch {
 			from = orNone(from);
@@ -308,8 +330,10 @@
 	 * @param next the position after the last record that the sender has read
 	 * @param records the newest record of each key that has changed from the requested
 	 * position on
+	 * @param isCompressible whether the receiver can read the message in compressed form
 	 */
-	record TableContent(String table, TablePosition next, List<TableRecord> records) implements Message {
+	record TableContent(String table, TablePosition next, List<TableRecord> records,
+			boolean isCompressible) implements Message {
 
 		public TableContent {
 			next = orNone(next);
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -12,8 +12,9 @@
  * Encodes envelopes as the content of frames and decodes them.
  * <p>
  * The content is an array of protocol version, message type, correlation id, reply flag
- * and the message's fields. A frame that cannot be decoded completely is refused. This
- * class has no state and is thread-safe.
+ * and the message's fields. Large table content is compressed, if the receiver can read
+ * that. A frame that cannot be decoded completely is refused. This class has no state and
+ * is thread-safe.
  */
 public final class MessageCodec {
 
@@ -22,6 +23,15 @@
 
 	private static final int ENVELOPE_FIELDS = 5;
 
+	/**
+	 * In the place of the message type, it marks compressed table content. The fields are
+	 * then the binary form of the compressed fields.
+	 */
+	private static final int COMPRESSED_TABLE_CONTENT = 1_000;
+
+	/** Smaller content is sent faster than it is compressed. */
+	private static final int MIN_COMPRESSED_BYTES = 4 * 1024;
+
 	/**
 	 * Message types by the number that stands for them in a frame. A type keeps its
 	 * number; new types are added at the end.
@@ -47,10 +57,18 @@
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packArrayHeader(ENVELOPE_FIELDS);
 			packer.packInt(VERSION);
-			packer.packInt(TYPES.indexOf(envelope.message().getClass()));
+			byte[] compressed = compressedFields(envelope.message());
+			packer.packInt(
+					(compressed != null) ? COMPRESSED_TABLE_CONTENT : TYPES.indexOf(envelope.message().getClass()));
 			packer.packLong(envelope.correlationId());
 			packer.packBoolean(envelope.isReply());
-			RecordCodec.write(packer, envelope.message());
+			if (compressed != null) {
+				packer.packBinaryHeader(compressed.length);
+				packer.writePayload(compressed);
+			}
+			else {
+				RecordCodec.write(packer, envelope.message());
+			}
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -58,6 +76,18 @@
 		}
 	}
 
+	// Returns null if the message is to be written as it is.
+	private static byte[] compressedFields(Message message) throws IOException {
+		if (!(message instanceof Message.TableContent content) || !content.isCompressible()) {
+			return null;
+		}
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			RecordCodec.write(packer, content);
+			byte[] fields = packer.toByteArray();
+			return (fields.length > MIN_COMPRESSED_BYTES) ? Compression.compress(fields) : null;
+		}
+	}
+
 	/**
 	 * Reads an envelope.
 	 * @param frame the content of a frame
@@ -70,19 +100,33 @@
 			int fieldCount = unpacker.unpackArrayHeader();
 			int version = unpacker.unpackInt();
 			int type = unpacker.unpackInt();
-			if (fieldCount < ENVELOPE_FIELDS || version != VERSION || type < 0 || type >= TYPES.size()) {
+			boolean isCompressed = type == COMPRESSED_TABLE_CONTENT;
+			boolean isKnown = isCompressed || (type >= 0 && type < TYPES.size());
+			if (fieldCount < ENVELOPE_FIELDS || version != VERSION || !isKnown) {
 				throw RecordCodec.badFrame("unsupported frame: version " + version + ", message type " + type + ", "
 						+ fieldCount + " fields");
 			}
 			long correlationId = unpacker.unpackLong();
 			boolean isReply = unpacker.unpackBoolean();
-			return new Envelope(correlationId, isReply, RecordCodec.read(unpacker, TYPES.get(type)));
+			return new Envelope(correlationId, isReply, isCompressed ? readCompressed(unpacker, frame.length)
+					: RecordCodec.read(unpacker, TYPES.get(type)));
 		}
 		catch (IOException | MessagePackException ex) {
 			throw RecordCodec.badFrame("frame cannot be read: " + ex.getMessage());
 		}
 	}
 
+	private static Message readCompressed(MessageUnpacker unpacker, int frameBytes) throws IOException {
+		int bytes = unpacker.unpackBinaryHeader();
+		if (bytes > frameBytes) {
+			throw RecordCodec.badFrame("compressed content of " + bytes + " bytes in a frame of " + frameBytes);
+		}
+		byte[] fields = Compression.decompress(unpacker.readPayload(bytes));
+		try (MessageUnpacker content = MessagePack.newDefaultUnpacker(fields)) {
+			return RecordCodec.read(content, Message.TableContent.class);
+		}
+	}
+
 	/**
 	 * A message and the request that it belongs to.
 	 *
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -53,6 +53,14 @@
 	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
 			new FencingToken(99), 200_000, 30, true, 1_500);
 
+	private static final Message.TableContent LARGE_CONTENT = content(100_000, true);
+
+	private static Message.TableContent content(int bytes, boolean isCompressible) {
+		return new Message.TableContent("t", TablePosition.of(2, 9),
+				List.of(new Message.TableRecord("k", "route ".repeat(bytes / 6), TablePosition.of(1, 8))),
+				isCompressible);
+	}
+
 	@DataProvider
 	public static Object[] messages() {
 		InstanceId instance = InstanceId.of("i1");
@@ -70,17 +78,19 @@
 				new Message.GrantRefused(ErrorCode.ZONE_OUT, 5), new Message.FirstToken(SHARD, "k"),
 				new Message.Release(SHARD, "k", null), new Message.Release(SHARD, "k", EndpointId.of("e")),
 				new Message.AnnounceGrants(SHARD, List.of(GRANT), 1_234), new Message.SegmentPrefilled(SHARD, "k", 2),
-				new Message.Acknowledgement(true), new Message.TableFetch("t", TablePosition.of(2, 4)),
+				new Message.Acknowledgement(true), new Message.TableFetch("t", TablePosition.of(2, 4), true),
 				new Message.TableNotice("t", TablePosition.NONE),
 				new Message.TableContent("t", TablePosition.of(2, 9),
-						List.of(new Message.TableRecord("k", "v", TablePosition.of(1, 8)))),
-				new Message.EndpointLeaving(EndpointId.of("i-1"), "7"),
+						List.of(new Message.TableRecord("k", "v", TablePosition.of(1, 8))), true),
+				LARGE_CONTENT, new Message.EndpointLeaving(EndpointId.of("i-1"), "7"),
 				new Message.CrashReport("e@b", "r", List.of("p")), new Message.SurvivalQuery(List.of("p", "q")),
 				new Message.SurvivalReply(List.of(new Message.SurvivalReply.Age(-1), new Message.SurvivalReply.Age(20)),
 						List.of(new Message.SurvivalReply.Count(0), new Message.SurvivalReply.Count(3))),
 				new Message.VersionQuery("p"), new Message.VersionReply(1, 2, true, 3),
 				new Message.Heartbeat(1, 2, 3, 4, List.of(new Message.ShardLoad(5, new HomeSummary(1, 2, 3, 4, true))),
-						TablePosition.of(0, 6), TablePosition.of(0, 7)) };
+						TablePosition.of(0, 6), TablePosition.of(0, 7),
+						new Message.TableCopies(true, 900, 20, TablePosition.of(0, 8))),
+				new Message.Heartbeat(1, 2, 3, 4, List.of(), TablePosition.of(0, 6), TablePosition.of(0, 7), null) };
 	}
 
 	@Test(dataProvider = "messages")
@@ -89,6 +99,28 @@
 		Assert.assertEquals(MessageCodec.read(MessageCodec.write(envelope)), envelope);
 	}
 
+	/**
+	 * Guards against a configuration that takes a second on the reader's link, because
+	 * all members of its zone fetch it at once, and against an instance of an earlier
+	 * version that is sent a message which it cannot read.
+	 */
+	@Test
+	public void onlyLargeContentForReceiversThatCanReadItIsCompressed() {
+		Assert.assertTrue(sizeOf(LARGE_CONTENT) < 10_000, "size " + sizeOf(LARGE_CONTENT));
+		Assert.assertTrue(sizeOf(content(100_000, false)) > 99_000);
+		Assert.assertTrue(sizeOf(content(3_600, true)) > 3_600);
+	}
+
+	private static int sizeOf(Message message) {
+		return MessageCodec.write(new Envelope(0, true, message)).length;
+	}
+
+	/** Guards against a small frame that fills the memory once it is decompressed. */
+	@Test(expectedExceptions = PoplarloomException.class, expectedExceptionsMessageRegExp = ".*exceeds.*")
+	public void contentThatExceedsAFrameOnceItIsDecompressedIsRefused() throws IOException {
+		Compression.decompress(Compression.compress(new byte[33 * 1024 * 1024]));
+	}
+
 	/** docs/CAPACITY.md counts on its size. */
 	@Test
 	public void theNoticeOfALeavingEndpointHas33Bytes() {
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/process/PeerNetworkTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/process/PeerNetworkTests.java
@@ -74,7 +74,7 @@
 		try (PeerNetwork server = network("server"); PeerNetwork client = network("client")) {
 			String address = "127.0.0.1:" + server.listen("127.0.0.1", 0);
 			Message large = new Message.TableContent("t", TablePosition.of(0, 1),
-					List.of(new Message.TableRecord("key", "x".repeat(1024 * 1024), TablePosition.of(0, 0))));
+					List.of(new Message.TableRecord("key", "x".repeat(1024 * 1024), TablePosition.of(0, 0))), false);
 			for (int i = 0; i < 20; i++) {
 				Message reply = client.request(address, large, TIMEOUT_MILLIS)
 					.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
