--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/Bench.java
@@ -87,9 +87,11 @@
 	}
 
 	private static Report relayFleet(BenchOptions options) {
-		return new RelayFleetExperiment(options.daemonsPerZone(), options.endpoints(),
-				Math.min(options.seconds(), MAX_CASE_SECONDS))
-			.run();
+		RelayFleetExperiment experiment = new RelayFleetExperiment(options.daemons(), options.zones(),
+				options.endpoints(), Math.min(options.seconds(), MAX_CASE_SECONDS));
+		Report report = experiment.run();
+		experiment.messages().printAndWriteCsv(Path.of(options.output()));
+		return report;
 	}
 
 	private static Report largePrompts(BenchOptions options) {
--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/RelayProcess.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/RelayProcess.java
@@ -1,10 +1,15 @@
 package org.poplarloom.bench.capacity;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,6 +32,14 @@
 
 	private static final Pattern RUN_COMMAND = Pattern.compile("(?m)^run = \"(.*)\"$");
 
+	/** Precedes the kind of message in the name of the metric of messages sent. */
+	static final String SENT_MESSAGES = "poplarloom_peer_sent_messages_";
+
+	/** Precedes the kind of message in the name of the metric of bytes sent. */
+	static final String SENT_BYTES = "poplarloom_peer_sent_bytes_";
+
+	private static final int METRICS_PORT = 9_464;
+
 	private static final int CALLER_PORT = 23_001;
 
 	private static final int READINESS_PORT = 23_002;
@@ -99,6 +112,23 @@
 			return this.host + ":" + CALLER_PORT;
 		}
 
+		/**
+		 * Reads the metrics of the daemon.
+		 * @return the values by name
+		 * @throws IOException if they cannot be read
+		 */
+		Map<String, Double> metrics() throws IOException {
+			Map<String, Double> values = new HashMap<>();
+			URL url = new URL("http", this.host, METRICS_PORT, "/metrics");
+			try (InputStream content = url.openStream()) {
+				new String(content.readAllBytes(), StandardCharsets.UTF_8).lines().forEach((line) -> {
+					int space = line.lastIndexOf(' ');
+					values.put(line.substring(0, space), Double.valueOf(line.substring(space + 1)));
+				});
+			}
+			return values;
+		}
+
 		private String settings(String storeAddress) {
 			return String.join("\n", "node=" + this.name, "zone=" + this.zone, "ip=" + this.host,
 					"listen.front=" + callerAddress(), "listen.ready=" + this.host + ":" + READINESS_PORT,
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -1,7 +1,9 @@
 package org.poplarloom.entry.process;
 
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
@@ -113,11 +115,21 @@
 		this.metrics.registerGauge("memory.held_bytes", memory::heldBytes);
 		this.metrics.registerGauge("memory.capacity_bytes", memory::capacityBytes);
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
+		this.metrics.registerGroup(this::sentToPeers);
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 		this.routing.whenActivated(() -> this.loop.execute(this.callerServer::applyLimits));
 	}
 
+	private Map<String, Long> sentToPeers() {
+		Map<String, Long> values = new LinkedHashMap<>();
+		this.node.network().traffic().sentByKind().forEach((kind, sent) -> {
+			values.put("peer.sent_messages." + kind, sent.messages());
+			values.put("peer.sent_bytes." + kind, sent.bytes());
+		});
+		return values;
+	}
+
 	/**
 	 * Starts an instance.
 	 * @param platform the settings that the platform gives
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
@@ -131,7 +131,7 @@
 
 	private void write(Envelope envelope) {
 		byte[] content = MessageCodec.write(envelope);
-		this.traffic.countSent(content.length);
+		this.traffic.countSent(envelope.message().getClass(), content.length);
 		this.context.writeAndFlush(Unpooled.wrappedBuffer(content));
 	}
 
