Log only what is configured; take over and poll a new home's endpoints at once

Cause: the handler of SIGHUP created the first logger before the format was set, so logback fell back to its default and every daemon wrote debug lines; a home waited up to 0.2 s for the check of membership and up to 0.5 s for the first poll; the class archive lacked the classes of a home. Change: the format is set first, lines are formatted without a pattern layout, which links sixty converters at each start, the first check and poll follow the permission to take over, and the archived daemon is alone at first.

--- a/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/ClassArchive.java
+++ b/poplarloom-bench/src/main/java/org/poplarloom/bench/capacity/ClassArchive.java
@@ -79,9 +79,12 @@
 		publish(plain, "app", "ready");
 		RelayProcess archived = RelayProcess.start(ARCHIVED, this.store.address(), directory,
 				(argument) -> argument.replace(READ_FLAG, WRITE_FLAG));
-		RelayProcess peer = RelayProcess.start(PEER, this.store.address(), directory, UnaryOperator.identity());
 		putConfiguration(3);
-		awaitReady();
+		// While it is alone it is the home, whose classes it loads too.
+		awaitReady(ARCHIVED);
+		prompt(ARCHIVED, 2_000);
+		RelayProcess peer = RelayProcess.start(PEER, this.store.address(), directory, UnaryOperator.identity());
+		awaitReady(PEER);
 		for (RelayProcess.Identity identity : List.of(ARCHIVED, PEER)) {
 			request(identity, "GET /again/x");
 			request(identity, "POST /once/x");
@@ -107,12 +110,12 @@
 				"model", "app", PREFILL_TOKENS_PER_SECOND, MILLIS_PER_MILLION_PAIRS));
 	}
 
-	private static void awaitReady() {
+	private static void awaitReady(RelayProcess.Identity identity) {
 		long endMillis = System.currentTimeMillis() + READY_TIMEOUT_MILLIS;
-		while (!request(ARCHIVED, "GET /again/x").startsWith("HTTP/1.1 200")
-				|| !request(PEER, "GET /again/x").startsWith("HTTP/1.1 200")) {
+		while (!request(identity, "GET /again/x").startsWith("HTTP/1.1 200")) {
 			if (System.currentTimeMillis() > endMillis) {
-				throw new IllegalStateException("the daemons serve no request after " + READY_TIMEOUT_MILLIS + " ms");
+				throw new IllegalStateException(
+						identity.name() + " serves no request after " + READY_TIMEOUT_MILLIS + " ms");
 			}
 			LocalSystem.sleep(POLL_INTERVAL_MILLIS);
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/LogConfigurator.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/LogConfigurator.java
@@ -3,12 +3,12 @@
 import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ConfiguratorRank;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import net.logstash.logback.encoder.LogstashEncoder;
 import org.slf4j.Logger;
@@ -29,8 +29,6 @@
 
 	private static final String JSON = "json";
 
-	private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level %logger{24} %X{request} - %msg%n";
-
 	/** Lines beyond it are dropped rather than delaying the caller. */
 	private static final int QUEUED_LINES = 4_096;
 
@@ -74,9 +72,12 @@
 			encoder.start();
 			return encoder;
 		}
-		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+		LineLayout layout = new LineLayout();
+		layout.setContext(context);
+		layout.start();
+		LayoutWrappingEncoder<ILoggingEvent> encoder = new LayoutWrappingEncoder<>();
 		encoder.setContext(context);
-		encoder.setPattern(PATTERN);
+		encoder.setLayout(layout);
 		encoder.start();
 		return encoder;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -83,6 +83,9 @@
 	}
 
 	private static int runCommand(Options options) {
+		// The first logger, which the handler of signals creates, fixes the
+		// configuration.
+		LogConfigurator.useFormat(options.logFormat());
 		DeferredTask reload = new DeferredTask();
 		HangupSignal.handle(reload);
 		Findings findings = new Findings();
@@ -102,7 +105,6 @@
 		if (!findings.isEmpty()) {
 			return report(findings);
 		}
-		LogConfigurator.useFormat(options.logFormat());
 		configureNetty(settings.instance());
 		start(settings, platform, Path.of(options.config()), reload);
 		return RUNNING;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -122,11 +122,15 @@
 	}
 
 	/**
-	 * Lets this instance take over shards from now on. Until it has looked for other
-	 * instances, it would take itself for the home of every shard.
+	 * Lets this instance take over shards from now on, and takes over those that are due.
+	 * Until it has looked for other instances, it would take itself for the home of every
+	 * shard.
 	 */
 	public void allowTakeOver() {
-		this.mayTakeOver = true;
+		if (!this.mayTakeOver) {
+			this.mayTakeOver = true;
+			followMembership();
+		}
 	}
 
 	/**
@@ -192,6 +196,8 @@
 					now + this.settings.settleMillis(), this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS);
 			home.setOut(this.activeConfiguration.state().isZoneOut(shard.zone()), now);
 			this.homes.put(shard, new Home(home));
+			// A home grants nothing before the first reports of its endpoints.
+			poll().subscribe();
 		}
 		else if (!isHome && existing != null) {
 			logger.info("giving up shard {} to {}", shard, chosen.map(Member::id).orElse(null));
