Split ShardHome and EndpointAllocations by decision

The deadline check moves to DeadlineCheck, granting and dispatch to GrantDispatcher, and GrantQueue becomes DeadlineOrder behind the interface QueueOrder in the new package core.admission. Orphaned prompt segments and polls of an endpoint move to OrphanedHandles and PollSchedule. Decisions are unchanged.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantQueue.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/DeadlineOrder.java
@@ -1,8 +1,9 @@
-package org.poplarloom.core.process;
+package org.poplarloom.core.admission;
 
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
@@ -11,7 +12,7 @@
 import org.poplarloom.core.request.GrantRequest;
 
 /**
- * Requests that wait for an endpoint, in the order in which they are dispatched.
+ * Orders queued requests by deadline.
  * <p>
  * With length classes, long prompts have a queue of their own. Within each queue,
  * requests that can still start in time go before those that will miss their target
@@ -19,7 +20,7 @@
  * answers are late instead of all. Without length classes there is one queue, first come,
  * first served. This class is not thread-safe; its home's lock guards it.
  */
-final class GrantQueue {
+public final class DeadlineOrder implements QueueOrder {
 
 	/**
 	 * Time that an engine needs to start an answer: about one pass and the prefill of a
@@ -43,7 +44,12 @@
 
 	private long nextSequence;
 
-	GrantQueue(boolean hasLengthClasses) {
+	/**
+	 * Creates an empty queue.
+	 * @param hasLengthClasses whether long prompts have a queue of their own and earlier
+	 * deadlines go first; false for first come, first served
+	 */
+	public DeadlineOrder(boolean hasLengthClasses) {
 		this.hasLengthClasses = hasLengthClasses;
 		Comparator<QueuedRequest> order = hasLengthClasses ? BY_DEADLINE
 				: Comparator.comparingLong(QueuedRequest::sequence);
@@ -51,7 +57,8 @@
 		this.longQueue = new TreeSet<>(order);
 	}
 
-	void add(InstanceId holder, GrantRequest request) {
+	@Override
+	public void add(InstanceId holder, GrantRequest request, long nowMillis) {
 		QueuedRequest queued = new QueuedRequest(holder, request, this.nextSequence++);
 		QueuedRequest previous = this.byKey.put(request.key(), queued);
 		if (previous != null) {
@@ -61,7 +68,8 @@
 		this.longTokens += request.lengthClass().isLong() ? request.promptTokens() : 0;
 	}
 
-	boolean remove(String key) {
+	@Override
+	public boolean remove(String key) {
 		QueuedRequest queued = this.byKey.remove(key);
 		if (queued != null) {
 			removeFromQueue(queued);
@@ -78,13 +86,11 @@
 		return (this.hasLengthClasses && request.lengthClass().isLong()) ? this.longQueue : this.mainQueue;
 	}
 
-	/**
-	 * Returns the requests of both queues, that of the long prompts last.
-	 * @param nowMillis the time in milliseconds
-	 * @return one list per queue, each in the order of dispatch
-	 */
-	List<List<QueuedRequest>> dispatchOrder(long nowMillis) {
-		return List.of(inDispatchOrder(this.mainQueue, nowMillis), inDispatchOrder(this.longQueue, nowMillis));
+	// The long prompts come last.
+	@Override
+	public List<Iterator<QueuedRequest>> dispatchOrder(long nowMillis) {
+		return List.of(inDispatchOrder(this.mainQueue, nowMillis).iterator(),
+				inDispatchOrder(this.longQueue, nowMillis).iterator());
 	}
 
 	private List<QueuedRequest> inDispatchOrder(TreeSet<QueuedRequest> queue, long nowMillis) {
@@ -104,19 +110,13 @@
 		return nowMillis + ENGINE_START_MILLIS <= request.latencyTarget().firstTokenTargetMillis();
 	}
 
-	List<QueuedRequest> all() {
+	@Override
+	public List<QueuedRequest> all() {
 		return new ArrayList<>(this.byKey.values());
 	}
 
-	/**
-	 * Returns whether a request that has just arrived would be dispatched before all
-	 * others of its queue.
-	 * @param request the request
-	 * @param nowMillis the time in milliseconds
-	 * @return true if its queue is empty, or if it can start in time and none of the
-	 * queued ones can
-	 */
-	boolean isFirst(GrantRequest request, long nowMillis) {
+	@Override
+	public boolean isFirst(GrantRequest request, long nowMillis) {
 		TreeSet<QueuedRequest> queue = queueFor(request);
 		if (queue.isEmpty()) {
 			return true;
@@ -125,18 +125,14 @@
 				&& queue.stream().noneMatch((queued) -> canStartInTime(queued.request(), nowMillis));
 	}
 
-	int size() {
+	@Override
+	public int size() {
 		return this.byKey.size();
 	}
 
-	long longTokens() {
+	@Override
+	public long longTokens() {
 		return this.longTokens;
 	}
 
-	/**
-	 * A request in the queue; its sequence number counts arrivals.
-	 */
-	record QueuedRequest(InstanceId holder, GrantRequest request, long sequence) {
-	}
-
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
@@ -25,37 +25,25 @@
 
 	private static final double MILLIS_PER_SECOND = 1000.0;
 
-	private static final long ORPHAN_GRACE_MILLIS = 3_000;
-
-	private static final long BUSY_POLL_MILLIS = 5_000;
-
-	private static final long IDLE_POLL_MILLIS = 500;
-
 	private static final int SLOW_FIRST_TOKENS_UNTIL_COLD = 3;
 
 	private static final double SLOW_FIRST_TOKEN_RATIO = 4;
 
 	private static final long SLOW_FIRST_TOKEN_MARGIN_MILLIS = 1_000;
 
-	/**
-	 * Time after which an unreachable endpoint is granted again without a new report,
-	 * since it may have recovered unnoticed.
-	 */
-	private static final long MAX_UNREACHABLE_MILLIS = 2_000;
-
 	/** Time within which the home has read that an endpoint has become cold. */
 	private static final long COLD_NOTICE_MILLIS = 1_500;
 
 	/** Extra wait of a long prompt that is accepted to avoid delaying one answer. */
 	private static final double DELAYED_ANSWER_PENALTY_MILLIS = 200;
 
-	private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
-
 	private final Map<String, Allocation> allocations = new HashMap<>();
 
 	private final PrefillBacklog prefillBacklog = new PrefillBacklog();
 
-	private final Map<String, Long> orphanSinceMillis = new HashMap<>();
+	private final OrphanedHandles orphans = new OrphanedHandles();
+
+	private final PollSchedule polls = new PollSchedule();
 
 	private final Map<Long, Boolean> recentPrefixes = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -73,10 +61,6 @@
 
 	private boolean hasIsolatedRequest;
 
-	private long unreachableSinceMillis = NEVER_MILLIS;
-
-	private long pollStartedMillis = NEVER_MILLIS;
-
 	private int slowFirstTokens;
 
 	EndpointAllocations(EndpointReport report, ColdStartRamp ramp, ColdRequestLimit coldLimit) {
@@ -358,20 +342,10 @@
 		boolean hasRestarted = !next.bootId().equals(this.report.bootId());
 		this.report = next;
 		this.coldLimit.setPeriod(next.coldPeriod(), nowMillis);
-		updateOrphans(nowMillis);
+		this.orphans.update(next.handles(), this.allocations.keySet(), nowMillis);
 		return hasRestarted ? resetAfterRestart(nowMillis) : List.of();
 	}
 
-	private void updateOrphans(long nowMillis) {
-		this.orphanSinceMillis.keySet().retainAll(this.report.handles());
-		this.orphanSinceMillis.keySet().removeAll(this.allocations.keySet());
-		for (String handle : this.report.handles()) {
-			if (!this.allocations.containsKey(handle)) {
-				this.orphanSinceMillis.putIfAbsent(handle, nowMillis);
-			}
-		}
-	}
-
 	/**
 	 * Returns the prompt segments in the endpoint's KV cache for which no grant has been
 	 * held for at least the grace time.
@@ -379,12 +353,7 @@
 	 * @return the identities of the grants that the segments were prefilled for
 	 */
 	List<String> orphans(long nowMillis) {
-		return this.orphanSinceMillis.entrySet()
-			.stream()
-			.filter((entry) -> nowMillis - entry.getValue() >= ORPHAN_GRACE_MILLIS
-					&& !this.allocations.containsKey(entry.getKey()))
-			.map(Map.Entry::getKey)
-			.toList();
+		return this.orphans.overdue(this.allocations.keySet(), nowMillis);
 	}
 
 	/**
@@ -411,21 +380,16 @@
 	 * @return true if the last poll is too long ago or the endpoint is unreachable
 	 */
 	boolean startPollIfDue(long nowMillis) {
-		boolean isBusy = running() > 0 && this.orphanSinceMillis.isEmpty() && isWarm(nowMillis);
-		long period = isBusy ? BUSY_POLL_MILLIS : IDLE_POLL_MILLIS;
-		boolean isDue = isUnreachable(nowMillis) || nowMillis - this.pollStartedMillis >= period;
-		if (isDue) {
-			this.pollStartedMillis = nowMillis;
-		}
-		return isDue;
+		boolean isBusy = running() > 0 && this.orphans.isEmpty() && isWarm(nowMillis);
+		return this.polls.startIfDue(isBusy, this.report, nowMillis);
 	}
 
 	void pollSoon() {
-		this.pollStartedMillis = NEVER_MILLIS;
+		this.polls.pollSoon();
 	}
 
 	void markUnreachable(long nowMillis) {
-		this.unreachableSinceMillis = nowMillis;
+		this.polls.markUnreachable(nowMillis);
 	}
 
 	/**
@@ -441,11 +405,8 @@
 				+ (hasLongPrefill() ? ",long" : "") + ((this.isOut || this.report.isDraining()) ? ",leaving" : "");
 	}
 
-	// The timeout is for an endpoint that reports only changes: without a new report it
-	// would stay unreachable for ever.
 	private boolean isUnreachable(long nowMillis) {
-		return this.report.requestedMillis() <= this.unreachableSinceMillis
-				&& nowMillis - this.unreachableSinceMillis < MAX_UNREACHABLE_MILLIS;
+		return this.polls.isUnreachable(this.report, nowMillis);
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -4,16 +4,17 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.LongStream;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.FencingToken;
 import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.admission.DeadlineOrder;
+import org.poplarloom.core.admission.QueueOrder;
+import org.poplarloom.core.admission.QueuedRequest;
 import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.GrantDecision;
 import org.poplarloom.core.request.GrantRequest;
-import org.poplarloom.core.request.Share;
 
 /**
  * Admission control for the endpoints of one shard. The home of a shard is the one
@@ -31,18 +32,10 @@
  */
 public final class ShardHome {
 
-	private static final int MAX_QUEUED_REQUESTS = 10_000;
-
-	private static final long GRANT_EXPIRY_SLACK_MILLIS = 2_000;
-
 	private static final long EXPIRY_PERIOD_MILLIS = 1_000;
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
-	private static final int MAX_FAILED_PLACEMENTS_PER_DISPATCH = 64;
-
-	private static final double URGENT_SLACK_RATIO = 1.5;
-
 	/**
 	 * Time after which instances agree on the home, where none is given, in milliseconds.
 	 */
@@ -54,21 +47,15 @@
 	 */
 	private static final long MAX_PAUSE_MILLIS = 500;
 
-	private static final double MILLIS_PER_SECOND = 1000.0;
-
-	private final PlacementPolicy policy;
-
 	private final ColdStartRamp.Settings rampSettings;
 
 	private final ShardAllocations allocations;
 
-	private final GrantQueue queue;
-
-	private final ShortPromptLoad shortLoad = new ShortPromptLoad();
+	private final QueueOrder queue;
 
-	private FencingToken fencingToken = FencingToken.NONE;
+	private final DeadlineCheck deadlineCheck;
 
-	private final long settleEndMillis;
+	private final GrantDispatcher dispatcher;
 
 	private final long agreementMillis;
 
@@ -81,11 +68,11 @@
 	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis,
 			long agreementMillis) {
 		this.agreementMillis = agreementMillis;
-		this.policy = policy;
 		this.rampSettings = rampSettings;
 		this.allocations = new ShardAllocations(rampSettings);
-		this.settleEndMillis = settleEndMillis;
-		this.queue = new GrantQueue(policy.hasLengthClasses());
+		this.queue = new DeadlineOrder(policy.hasLengthClasses());
+		this.deadlineCheck = new DeadlineCheck(policy, this.allocations, this.queue);
+		this.dispatcher = new GrantDispatcher(policy, rampSettings, this.allocations, this.queue, settleEndMillis);
 	}
 
 	/**
@@ -162,135 +149,37 @@
 		if (existing != null) {
 			return new GrantDecision.Granted(existing);
 		}
-		if (!request.lengthClass().isLong()) {
-			this.shortLoad.add(request.promptTokens(), nowMillis);
-		}
+		this.dispatcher.recordArrival(request, nowMillis);
 		if (request.parallelPrefill() != null) {
 			return decideParts(holder, request, nowMillis);
 		}
-		ErrorCode refusal = refusal(request, nowMillis);
+		ErrorCode refusal = this.isOut ? ErrorCode.ZONE_OUT : this.deadlineCheck.refusal(request, nowMillis);
 		if (refusal != null) {
-			long coldWait = coldWaitMillis(request, nowMillis);
+			long coldWait = this.deadlineCheck.coldWaitMillis(request, nowMillis);
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal,
 					(coldWait > 0) ? coldWait : RETRY_AFTER_MILLIS);
 		}
-		Grant grant = this.queue.isFirst(request, nowMillis) ? tryGrant(holder, request, mayQueue, nowMillis) : null;
+		Grant grant = this.queue.isFirst(request, nowMillis)
+				? this.dispatcher.tryGrant(holder, request, mayQueue, nowMillis) : null;
 		if (grant != null) {
 			return new GrantDecision.Granted(grant);
 		}
 		if (!mayQueue) {
-			double delay = estimateFirstTokenMillis(request, nowMillis);
+			double delay = this.deadlineCheck.estimateFirstTokenMillis(request, nowMillis);
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
 					(long) delay + 1);
 		}
-		this.queue.add(holder, request);
+		this.queue.add(holder, request, nowMillis);
 		return new GrantDecision.Queued(request.requestId(), request.attempt());
 	}
 
-	private double estimateFirstTokenMillis(GrantRequest request, long nowMillis) {
-		double estimate = this.policy.estimateFirstTokenMillis(request, this.allocations.endpoints(), nowMillis);
-		long coldWait = coldWaitMillis(request, nowMillis);
-		return (coldWait > 0) ? Math.min(estimate, coldWait) : estimate;
-	}
-
-	/**
-	 * Estimates how long a request waits because all its endpoints are cold: until those
-	 * in the queue before it are granted at the rates of the endpoints, or until the
-	 * first endpoint is warm.
-	 * @param request the request
-	 * @param nowMillis the time in milliseconds
-	 * @return milliseconds, 0 if an endpoint is warm or none is eligible
-	 */
-	private long coldWaitMillis(GrantRequest request, long nowMillis) {
-		double requestsPerSecond = 0;
-		double available = 0;
-		long coldMillis = Long.MAX_VALUE;
-		for (EndpointAllocations endpoint : this.allocations.endpoints()) {
-			if (endpoint.isEligible(request)) {
-				ColdRequestLimit limit = endpoint.coldLimit();
-				requestsPerSecond += limit.requestsPerSecond(nowMillis);
-				available += Math.floor(limit.available(nowMillis));
-				coldMillis = Math.min(coldMillis, limit.remainingMillis(nowMillis));
-			}
-		}
-		if (requestsPerSecond == 0 || coldMillis == 0) {
-			return 0;
-		}
-		double missing = Math.max(0, this.queue.size() + 1 - available);
-		return Math.min(coldMillis, (long) Math.ceil(missing / requestsPerSecond * MILLIS_PER_SECOND));
-	}
-
 	private GrantDecision decideParts(InstanceId holder, GrantRequest request, long nowMillis) {
-		List<Share> shares = (this.isOut || nowMillis < this.settleEndMillis) ? List.of()
-				: this.policy.placeParts(request, this.allocations.endpoints(), nowMillis);
-		if (shares.isEmpty()) {
+		Grant grant = this.isOut ? null : this.dispatcher.tryGrantParts(holder, request, nowMillis);
+		if (grant == null) {
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
 					RETRY_AFTER_MILLIS);
 		}
-		return new GrantDecision.Granted(allocate(holder, request, shares, nowMillis));
-	}
-
-	private ErrorCode refusal(GrantRequest request, long nowMillis) {
-		if (this.isOut) {
-			return ErrorCode.ZONE_OUT;
-		}
-		List<EndpointAllocations> eligible = this.allocations.endpoints()
-			.stream()
-			.filter((endpoint) -> endpoint.isEligible(request))
-			.toList();
-		LongStream memory = eligible.stream().mapToLong((endpoint) -> endpoint.report().kvTokens());
-		long capacity = this.policy.isPrefillParallel() ? memory.max().orElse(0) : memory.sum();
-		if (eligible.isEmpty() || capacity < request.kvTokens()) {
-			return ErrorCode.NO_ENDPOINT;
-		}
-		if (this.queue.size() >= MAX_QUEUED_REQUESTS) {
-			return ErrorCode.QUEUE_FULL;
-		}
-		return canStartBeforeTimeout(request, eligible, nowMillis) ? null : ErrorCode.DEADLINE_UNREACHABLE;
-	}
-
-	private boolean canStartBeforeTimeout(GrantRequest request, List<EndpointAllocations> eligible, long nowMillis) {
-		double queuedTokensPerEndpoint = request.lengthClass().isLong()
-				? (double) this.queue.longTokens() / eligible.size() : 0;
-		EndpointAllocations first = eligible.get(0);
-		double prefillMillis = this.policy.isPrefillParallel()
-				? first.prefillMillis(request.promptTokens()) / eligible.size()
-						+ first.prefillMillis((long) queuedTokensPerEndpoint)
-				: first.prefillMillis(request.promptTokens() + (long) queuedTokensPerEndpoint);
-		return nowMillis + coldWaitMillis(request, nowMillis) + prefillMillis <= request.latencyTarget()
-			.firstTokenDeadlineMillis();
-	}
-
-	private Grant tryGrant(InstanceId holder, GrantRequest request, boolean mayQueue, long nowMillis) {
-		if (nowMillis < this.settleEndMillis && !mayGrantBeforeSettled(request)) {
-			return null;
-		}
-		List<Share> shares = mayQueue
-				? this.policy.place(request, this.allocations.endpoints(), this.shortLoad, nowMillis)
-				: this.policy.placeWithinTarget(request, this.allocations.endpoints(), this.shortLoad, nowMillis);
-		return shares.isEmpty() ? null : allocate(holder, request, shares, nowMillis);
-	}
-
-	private Grant allocate(InstanceId holder, GrantRequest request, List<Share> shares, long nowMillis) {
-		long expiry = request.deadlineMillis() + GRANT_EXPIRY_SLACK_MILLIS;
-		int priority = this.policy.priority(request, isUrgent(request, nowMillis));
-		boolean isCold = this.allocations.recordGrant(shares, nowMillis);
-		long latestStart = isCold ? nowMillis + ColdRequestLimit.MAX_START_DELAY_MILLIS : Grant.NO_LATEST_START;
-		Grant grant = new Grant(request, shares, this.fencingToken, expiry, priority, this.policy.isPrefillParallel(),
-				latestStart);
-		this.allocations.allocate(holder, grant, nowMillis);
-		return grant;
-	}
-
-	private boolean mayGrantBeforeSettled(GrantRequest request) {
-		long running = this.allocations.grantCount();
-		return !request.lengthClass().isLong()
-				&& running < (long) this.rampSettings.floor() * this.allocations.endpoints().size();
-	}
-
-	private boolean isUrgent(GrantRequest request, long nowMillis) {
-		double prefillMillis = this.allocations.endpoints().get(0).prefillMillis(request.promptTokens());
-		return nowMillis + prefillMillis * URGENT_SLACK_RATIO > request.deadlineMillis();
+		return new GrantDecision.Granted(grant);
 	}
 
 	/**
@@ -384,7 +273,7 @@
 			return List.of();
 		}
 		List<HomeDecision> decisions = new ArrayList<>();
-		for (GrantQueue.QueuedRequest queued : this.queue.all()) {
+		for (QueuedRequest queued : this.queue.all()) {
 			if (queued.request().latencyTarget().firstTokenDeadlineMillis() <= nowMillis) {
 				decisions.add(refuse(queued, ErrorCode.DEADLINE_EXCEEDED));
 			}
@@ -393,7 +282,7 @@
 		return decisions;
 	}
 
-	private HomeDecision refuse(GrantQueue.QueuedRequest queued, ErrorCode code) {
+	private HomeDecision refuse(QueuedRequest queued, ErrorCode code) {
 		GrantRequest request = queued.request();
 		this.queue.remove(request.key());
 		return new HomeDecision(queued.holder(),
@@ -402,31 +291,7 @@
 
 	private List<HomeDecision> dispatchQueued(long nowMillis) {
 		detectPause(nowMillis);
-		if (this.queue.size() == 0 || this.allocations.endpoints().isEmpty()) {
-			return List.of();
-		}
-		List<HomeDecision> decisions = new ArrayList<>();
-		for (List<GrantQueue.QueuedRequest> ordered : this.queue.dispatchOrder(nowMillis)) {
-			dispatchInOrder(ordered, nowMillis, decisions);
-		}
-		return decisions;
-	}
-
-	private void dispatchInOrder(List<GrantQueue.QueuedRequest> ordered, long nowMillis, List<HomeDecision> decisions) {
-		int failures = 0;
-		for (GrantQueue.QueuedRequest queued : ordered) {
-			Grant grant = tryGrant(queued.holder(), queued.request(), true, nowMillis);
-			if (grant != null) {
-				this.queue.remove(grant.key());
-				decisions.add(new HomeDecision(queued.holder(), new GrantDecision.Granted(grant)));
-				continue;
-			}
-			failures++;
-			boolean mayBeOvertaken = !queued.request().lengthClass().isLong();
-			if (!mayBeOvertaken || failures >= MAX_FAILED_PLACEMENTS_PER_DISPATCH) {
-				return;
-			}
-		}
+		return this.dispatcher.dispatch(nowMillis);
 	}
 
 	/**
@@ -518,15 +383,7 @@
 	 * @return the token now in force
 	 */
 	public synchronized FencingToken raiseFencingToken(InstanceId instance) {
-		long highest = this.allocations.endpoints()
-			.stream()
-			.mapToLong((endpoint) -> endpoint.report().highestFencingToken())
-			.max()
-			.orElse(0);
-		if (highest > this.fencingToken.value() || this.fencingToken.equals(FencingToken.NONE)) {
-			this.fencingToken = new FencingToken(Math.max(highest, this.fencingToken.value())).next(instance);
-		}
-		return this.fencingToken;
+		return this.dispatcher.raiseFencingToken(instance);
 	}
 
 	/**
@@ -553,7 +410,7 @@
 	 * ends
 	 */
 	public synchronized List<Orphan> orphans(long nowMillis) {
-		if (nowMillis < this.settleEndMillis) {
+		if (this.dispatcher.isSettling(nowMillis)) {
 			return List.of();
 		}
 		return this.allocations.orphans(nowMillis);
