Admission by team shares: rules, order, promises

Under a shortage the home ordered requests by deadline only, so that a large team displaced small ones, and queued requests that had no chance.

AdmissionRules decides order, refusal and return of callers; DeadlineRules is the former behaviour, SharesRules shares engine time among teams by virtual time. LocalHomes chooses by Settings.load().hasTeamShares(). GrantRequest carries a fingerprint and a priority.

ShardHomeTests, CostPlacementTests, ColdEndpointsTests, MessageCodecTests and GrantClientTests pass.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/QueueOrder.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/QueueOrder.java
@@ -49,6 +49,16 @@
 	 */
 	List<Iterator<QueuedRequest>> dispatchOrder(long nowMillis);
 
+	/**
+	 * Returns whether a queued request is a long prompt that has waited for so long that
+	 * others leave it an endpoint.
+	 * @param key its key
+	 * @return false if there is no such request in the queue
+	 */
+	default boolean isOverdue(String key) {
+		return false;
+	}
+
 	/**
 	 * Returns all queued requests.
 	 * @return a copy, in no particular order
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/DeadlineCheck.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/DeadlineCheck.java
@@ -4,6 +4,8 @@
 import java.util.stream.LongStream;
 
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.admission.AdmissionRule;
+import org.poplarloom.core.admission.AdmissionRules;
 import org.poplarloom.core.admission.QueueOrder;
 import org.poplarloom.core.request.GrantRequest;
 
@@ -23,21 +25,24 @@
 
 	private final ShardAllocations allocations;
 
+	private final AdmissionRules rules;
+
 	private final QueueOrder queue;
 
-	DeadlineCheck(PlacementPolicy policy, ShardAllocations allocations, QueueOrder queue) {
+	DeadlineCheck(PlacementPolicy policy, ShardAllocations allocations, AdmissionRules rules) {
 		this.policy = policy;
 		this.allocations = allocations;
-		this.queue = queue;
+		this.rules = rules;
+		this.queue = rules.queue();
 	}
 
 	/**
 	 * Returns why a request cannot be queued.
 	 * @param request the request
 	 * @param nowMillis the time in milliseconds
-	 * @return the reason, or null if the request can be queued
+	 * @return the reason and the rule that decided, or null if the request can be queued
 	 */
-	ErrorCode refusal(GrantRequest request, long nowMillis) {
+	Refusal refusal(GrantRequest request, long nowMillis) {
 		List<EndpointAllocations> eligible = this.allocations.endpoints()
 			.stream()
 			.filter((endpoint) -> endpoint.isEligible(request))
@@ -45,12 +50,16 @@
 		LongStream memory = eligible.stream().mapToLong((endpoint) -> endpoint.report().kvTokens());
 		long capacity = this.policy.isPrefillParallel() ? memory.max().orElse(0) : memory.sum();
 		if (eligible.isEmpty() || capacity < request.kvTokens()) {
-			return ErrorCode.NO_ENDPOINT;
+			return new Refusal(ErrorCode.NO_ENDPOINT, AdmissionRule.NONE);
 		}
 		if (this.queue.size() >= MAX_QUEUED_REQUESTS) {
-			return ErrorCode.QUEUE_FULL;
+			return new Refusal(ErrorCode.QUEUE_FULL, AdmissionRule.NONE);
+		}
+		if (!canStartBeforeTimeout(request, eligible, nowMillis)) {
+			return new Refusal(ErrorCode.DEADLINE_UNREACHABLE, AdmissionRule.TIME_TOO_SHORT);
 		}
-		return canStartBeforeTimeout(request, eligible, nowMillis) ? null : ErrorCode.DEADLINE_UNREACHABLE;
+		AdmissionRule rule = this.rules.judge(request, nowMillis);
+		return (rule != AdmissionRule.NONE) ? new Refusal(ErrorCode.DEADLINE_UNREACHABLE, rule) : null;
 	}
 
 	private boolean canStartBeforeTimeout(GrantRequest request, List<EndpointAllocations> eligible, long nowMillis) {
@@ -75,7 +84,8 @@
 	double estimateFirstTokenMillis(GrantRequest request, long nowMillis) {
 		double estimate = this.policy.estimateFirstTokenMillis(request, this.allocations.endpoints(), nowMillis);
 		long coldWait = coldWaitMillis(request, nowMillis);
-		return (coldWait > 0) ? Math.min(estimate, coldWait) : estimate;
+		double withoutQueue = (coldWait > 0) ? Math.min(estimate, coldWait) : estimate;
+		return Math.max(withoutQueue, this.rules.waitMillis(request, nowMillis));
 	}
 
 	/**
@@ -105,4 +115,13 @@
 		return Math.min(coldMillis, (long) Math.ceil(missing / requestsPerSecond * MILLIS_PER_SECOND));
 	}
 
+	/**
+	 * Why a request cannot be queued.
+	 *
+	 * @param code the error code for its caller
+	 * @param rule the rule that decided, or {@link AdmissionRule#NONE}
+	 */
+	record Refusal(ErrorCode code, AdmissionRule rule) {
+	}
+
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
@@ -101,6 +101,27 @@
 		return Math.max(0, this.report.kvTokens() - this.reservedKvTokens);
 	}
 
+	/**
+	 * Returns the number of long prompts granted, in whole or in part, and not released.
+	 * @return a number from 0
+	 */
+	int runningLong() {
+		int count = 0;
+		for (Allocation allocation : this.allocations.values()) {
+			count += allocation.request().lengthClass().isLong() ? 1 : 0;
+		}
+		return count;
+	}
+
+	/**
+	 * Returns how many requests the endpoint may run at one time.
+	 * @param nowMillis the time in milliseconds
+	 * @return 0 if it takes no new work
+	 */
+	int limit(long nowMillis) {
+		return (this.isOut || this.report.isDraining()) ? 0 : this.ramp.limit(this.report.slots(), nowMillis);
+	}
+
 	/**
 	 * Returns whether a long prompt is being prefilled.
 	 * @return true until the prompt's first token or the end of its segment
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.stream.Collectors;
 
 import org.poplarloom.core.FencingToken;
 import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.admission.AdmissionRule;
+import org.poplarloom.core.admission.AdmissionRules;
 import org.poplarloom.core.admission.QueueOrder;
 import org.poplarloom.core.admission.QueuedRequest;
 import org.poplarloom.core.request.Grant;
@@ -34,8 +37,12 @@
 
 	private final ShardAllocations allocations;
 
+	private final AdmissionRules rules;
+
 	private final QueueOrder queue;
 
+	private final ReservedRoom reservedRoom;
+
 	private final long settleEndMillis;
 
 	private final ShortPromptLoad shortLoad = new ShortPromptLoad();
@@ -43,11 +50,13 @@
 	private FencingToken fencingToken = FencingToken.NONE;
 
 	GrantDispatcher(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, ShardAllocations allocations,
-			QueueOrder queue, long settleEndMillis) {
+			AdmissionRules rules, long settleEndMillis) {
 		this.policy = policy;
 		this.rampSettings = rampSettings;
 		this.allocations = allocations;
-		this.queue = queue;
+		this.rules = rules;
+		this.queue = rules.queue();
+		this.reservedRoom = rules.reservesRoom() ? new ReservedRoom() : null;
 		this.settleEndMillis = settleEndMillis;
 	}
 
@@ -74,12 +83,17 @@
 		if (isSettling(nowMillis) && !mayGrantBeforeSettled(request)) {
 			return null;
 		}
-		List<Share> shares = mayQueue
-				? this.policy.place(request, this.allocations.endpoints(), this.shortLoad, nowMillis)
-				: this.policy.placeWithinTarget(request, this.allocations.endpoints(), this.shortLoad, nowMillis);
+		List<EndpointAllocations> endpoints = endpointsFor(request, nowMillis);
+		List<Share> shares = mayQueue ? this.policy.place(request, endpoints, this.shortLoad, nowMillis)
+				: this.policy.placeWithinTarget(request, endpoints, this.shortLoad, nowMillis);
 		return shares.isEmpty() ? null : allocate(holder, request, shares, nowMillis);
 	}
 
+	private List<EndpointAllocations> endpointsFor(GrantRequest request, long nowMillis) {
+		return (this.reservedRoom == null) ? this.allocations.endpoints()
+				: this.reservedRoom.endpointsFor(request, this.allocations.endpoints(), nowMillis);
+	}
+
 	/**
 	 * Grants endpoints that each prefill a part of the request's prompt.
 	 * @param holder the instance that would hold the grant
@@ -89,7 +103,7 @@
 	 */
 	Grant tryGrantParts(InstanceId holder, GrantRequest request, long nowMillis) {
 		List<Share> shares = isSettling(nowMillis) ? List.of()
-				: this.policy.placeParts(request, this.allocations.endpoints(), nowMillis);
+				: this.policy.placeParts(request, endpointsFor(request, nowMillis), nowMillis);
 		return shares.isEmpty() ? null : allocate(holder, request, shares, nowMillis);
 	}
 
@@ -121,6 +135,14 @@
 	 * @return the grants
 	 */
 	List<HomeDecision> dispatch(long nowMillis) {
+		if (this.reservedRoom != null && !this.reservedRoom.isEmpty()) {
+			this.reservedRoom.retain(this.queue::isOverdue,
+					this.allocations.endpoints()
+						.stream()
+						.filter((endpoint) -> endpoint.limit(nowMillis) > 0)
+						.map(EndpointAllocations::id)
+						.collect(Collectors.toSet()));
+		}
 		if (this.queue.size() == 0 || this.allocations.endpoints().isEmpty()) {
 			return List.of();
 		}
@@ -137,10 +159,14 @@
 			QueuedRequest queued = ordered.next();
 			Grant grant = tryGrant(queued.holder(), queued.request(), true, nowMillis);
 			if (grant != null) {
+				AdmissionRule rule = this.rules.recordGrant(queued.request(), nowMillis);
 				this.queue.remove(grant.key());
-				decisions.add(new HomeDecision(queued.holder(), new GrantDecision.Granted(grant)));
+				decisions.add(new HomeDecision(queued.holder(), new GrantDecision.Granted(grant), rule));
 				continue;
 			}
+			if (this.reservedRoom != null && this.queue.isOverdue(queued.request().key())) {
+				this.reservedRoom.reserve(queued.request(), this.allocations.endpoints());
+			}
 			failures++;
 			boolean mayBeOvertaken = !queued.request().lengthClass().isLong();
 			if (!mayBeOvertaken || failures >= MAX_FAILED_PLACEMENTS_PER_DISPATCH) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/HomeDecision.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/HomeDecision.java
@@ -1,6 +1,7 @@
 package org.poplarloom.core.process;
 
 import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.admission.AdmissionRule;
 import org.poplarloom.core.request.GrantDecision;
 
 /**
@@ -10,6 +11,13 @@
  *
  * @param holder the instance that requested the grant
  * @param decision the decision
+ * @param rule the rule by which the request was refused, or has waited for longer than
+ * its latency target allows; {@link AdmissionRule#NONE} if no rule applies
  */
-public record HomeDecision(InstanceId holder, GrantDecision decision) {
+public record HomeDecision(InstanceId holder, GrantDecision decision, AdmissionRule rule) {
+
+	public HomeDecision(InstanceId holder, GrantDecision decision) {
+		this(holder, decision, AdmissionRule.NONE);
+	}
+
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -9,9 +9,13 @@
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.FencingToken;
 import org.poplarloom.core.InstanceId;
-import org.poplarloom.core.admission.DeadlineOrder;
+import org.poplarloom.core.admission.AdmissionRule;
+import org.poplarloom.core.admission.AdmissionRules;
+import org.poplarloom.core.admission.DeadlineRules;
 import org.poplarloom.core.admission.QueueOrder;
 import org.poplarloom.core.admission.QueuedRequest;
+import org.poplarloom.core.admission.SharesRules;
+import org.poplarloom.core.admission.TeamUsage;
 import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.GrantDecision;
 import org.poplarloom.core.request.GrantRequest;
@@ -51,6 +55,8 @@
 
 	private final ShardAllocations allocations;
 
+	private final AdmissionRules rules;
+
 	private final QueueOrder queue;
 
 	private final DeadlineCheck deadlineCheck;
@@ -66,13 +72,15 @@
 	private boolean isOut;
 
 	private ShardHome(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis,
-			long agreementMillis) {
+			long agreementMillis, boolean hasTeamShares) {
 		this.agreementMillis = agreementMillis;
 		this.rampSettings = rampSettings;
 		this.allocations = new ShardAllocations(rampSettings);
-		this.queue = new DeadlineOrder(policy.hasLengthClasses());
-		this.deadlineCheck = new DeadlineCheck(policy, this.allocations, this.queue);
-		this.dispatcher = new GrantDispatcher(policy, rampSettings, this.allocations, this.queue, settleEndMillis);
+		this.rules = hasTeamShares ? new SharesRules(new EndpointCapacity(policy, this.allocations), settleEndMillis)
+				: new DeadlineRules(policy.hasLengthClasses());
+		this.queue = this.rules.queue();
+		this.deadlineCheck = new DeadlineCheck(policy, this.allocations, this.rules);
+		this.dispatcher = new GrantDispatcher(policy, rampSettings, this.allocations, this.rules, settleEndMillis);
 	}
 
 	/**
@@ -84,7 +92,7 @@
 	 * @return the home
 	 */
 	public static ShardHome of(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis) {
-		return new ShardHome(policy, rampSettings, settleEndMillis, DEFAULT_AGREEMENT_MILLIS);
+		return new ShardHome(policy, rampSettings, settleEndMillis, DEFAULT_AGREEMENT_MILLIS, false);
 	}
 
 	/**
@@ -99,7 +107,23 @@
 	 */
 	public static ShardHome of(PlacementPolicy policy, ColdStartRamp.Settings rampSettings, long settleEndMillis,
 			long agreementMillis) {
-		return new ShardHome(policy, rampSettings, settleEndMillis, agreementMillis);
+		return new ShardHome(policy, rampSettings, settleEndMillis, agreementMillis, false);
+	}
+
+	/**
+	 * Returns a home without endpoints that shares the engines' time among the teams
+	 * while requests wait.
+	 * @param policy the policy that places requests on endpoints
+	 * @param rampSettings the slow-start ramp of endpoints that have just started
+	 * @param settleEndMillis when the settle time for announcements of the previous
+	 * home's grants ends, in milliseconds since the epoch
+	 * @param agreementMillis how long two instances may take themselves for the home, in
+	 * milliseconds
+	 * @return the home
+	 */
+	public static ShardHome withTeamShares(PlacementPolicy policy, ColdStartRamp.Settings rampSettings,
+			long settleEndMillis, long agreementMillis) {
+		return new ShardHome(policy, rampSettings, settleEndMillis, agreementMillis, true);
 	}
 
 	/**
@@ -142,35 +166,60 @@
 	 * @param nowMillis the time in milliseconds since the epoch
 	 * @return the decision, never null
 	 */
-	public synchronized GrantDecision request(InstanceId holder, GrantRequest request, boolean mayQueue,
-			long nowMillis) {
+	public GrantDecision request(InstanceId holder, GrantRequest request, boolean mayQueue, long nowMillis) {
+		return decide(holder, request, mayQueue, nowMillis).decision();
+	}
+
+	/**
+	 * Grants, queues or refuses a request and names the rule that decided.
+	 * @param holder the instance that would hold the grant
+	 * @param request the request; a repeated one replaces the queued one or gets the
+	 * grant that it already has
+	 * @param mayQueue whether the request is queued if it cannot start in time; if false,
+	 * it fails fast: it is refused with the estimated wait
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return the decision, never null
+	 */
+	public synchronized HomeDecision decide(InstanceId holder, GrantRequest request, boolean mayQueue, long nowMillis) {
 		detectPause(nowMillis);
 		Grant existing = this.allocations.grant(request.key());
 		if (existing != null) {
-			return new GrantDecision.Granted(existing);
+			return new HomeDecision(holder, new GrantDecision.Granted(existing));
 		}
 		this.dispatcher.recordArrival(request, nowMillis);
 		if (request.parallelPrefill() != null) {
-			return decideParts(holder, request, nowMillis);
+			return new HomeDecision(holder, decideParts(holder, request, nowMillis));
 		}
-		ErrorCode refusal = this.isOut ? ErrorCode.ZONE_OUT : this.deadlineCheck.refusal(request, nowMillis);
+		DeadlineCheck.Refusal refusal = this.isOut ? new DeadlineCheck.Refusal(ErrorCode.ZONE_OUT, AdmissionRule.NONE)
+				: this.deadlineCheck.refusal(request, nowMillis);
 		if (refusal != null) {
-			long coldWait = this.deadlineCheck.coldWaitMillis(request, nowMillis);
-			return new GrantDecision.Refused(request.requestId(), request.attempt(), refusal,
-					(coldWait > 0) ? coldWait : RETRY_AFTER_MILLIS);
+			return refuse(holder, request, refusal, mayQueue, nowMillis);
 		}
-		Grant grant = this.queue.isFirst(request, nowMillis)
+		Grant grant = this.rules.isFirst(request, nowMillis)
 				? this.dispatcher.tryGrant(holder, request, mayQueue, nowMillis) : null;
 		if (grant != null) {
-			return new GrantDecision.Granted(grant);
+			AdmissionRule rule = this.rules.recordGrant(request, nowMillis);
+			return new HomeDecision(holder, new GrantDecision.Granted(grant), rule);
 		}
 		if (!mayQueue) {
 			double delay = this.deadlineCheck.estimateFirstTokenMillis(request, nowMillis);
-			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
-					(long) delay + 1);
+			return new HomeDecision(holder, new GrantDecision.Refused(request.requestId(), request.attempt(),
+					ErrorCode.HOME_BUSY, (long) delay + 1));
 		}
-		this.queue.add(holder, request, nowMillis);
-		return new GrantDecision.Queued(request.requestId(), request.attempt());
+		this.rules.enqueue(holder, request, nowMillis);
+		return new HomeDecision(holder, new GrantDecision.Queued(request.requestId(), request.attempt()));
+	}
+
+	private HomeDecision refuse(InstanceId holder, GrantRequest request, DeadlineCheck.Refusal refusal,
+			boolean mayReturn, long nowMillis) {
+		long coldWait = this.deadlineCheck.coldWaitMillis(request, nowMillis);
+		long retryAfter = (coldWait > 0) ? coldWait : RETRY_AFTER_MILLIS;
+		if (refusal.code() == ErrorCode.DEADLINE_UNREACHABLE || refusal.code() == ErrorCode.QUEUE_FULL) {
+			retryAfter = this.rules.recordRefusal(request, retryAfter, mayReturn, nowMillis);
+		}
+		GrantDecision decision = new GrantDecision.Refused(request.requestId(), request.attempt(), refusal.code(),
+				retryAfter);
+		return new HomeDecision(holder, decision, refusal.rule());
 	}
 
 	private GrantDecision decideParts(InstanceId holder, GrantRequest request, long nowMillis) {
@@ -179,6 +228,7 @@
 			return new GrantDecision.Refused(request.requestId(), request.attempt(), ErrorCode.HOME_BUSY,
 					RETRY_AFTER_MILLIS);
 		}
+		this.rules.recordGrant(request, nowMillis);
 		return new GrantDecision.Granted(grant);
 	}
 
@@ -204,6 +254,7 @@
 		if (found == null) {
 			return List.of();
 		}
+		this.rules.recordFirstToken(key);
 		this.allocations.forEachEndpoint(found, (endpoint) -> endpoint.recordFirstToken(key, nowMillis));
 		return found.request().lengthClass().isLong() ? dispatchQueued(nowMillis) : List.of();
 	}
@@ -239,8 +290,10 @@
 	 * @return decisions on queued requests
 	 */
 	public synchronized List<HomeDecision> release(String key, long nowMillis) {
+		boolean hadReservedRoom = this.queue.isOverdue(key);
 		this.queue.remove(key);
-		return this.allocations.release(key) ? dispatchQueued(nowMillis) : List.of();
+		this.rules.recordRelease(key, nowMillis);
+		return (this.allocations.release(key) || hadReservedRoom) ? dispatchQueued(nowMillis) : List.of();
 	}
 
 	/**
@@ -269,24 +322,34 @@
 			this.lastExpiryMillis = nowMillis;
 			this.allocations.releaseExpired(nowMillis);
 		}
-		if (this.queue.size() == 0) {
-			return List.of();
+		List<HomeDecision> decisions = refuse(this.rules.expired(nowMillis), nowMillis);
+		if (this.queue.size() > 0) {
+			decisions.addAll(dispatchQueued(nowMillis));
 		}
+		return decisions;
+	}
+
+	private List<HomeDecision> refuse(List<AdmissionRules.Unservable> unservable, long nowMillis) {
 		List<HomeDecision> decisions = new ArrayList<>();
-		for (QueuedRequest queued : this.queue.all()) {
-			if (queued.request().latencyTarget().firstTokenDeadlineMillis() <= nowMillis) {
-				decisions.add(refuse(queued, ErrorCode.DEADLINE_EXCEEDED));
+		for (AdmissionRules.Unservable request : unservable) {
+			QueuedRequest queued = request.queued();
+			if (request.code() == ErrorCode.DEADLINE_UNREACHABLE) {
+				DeadlineCheck.Refusal refusal = new DeadlineCheck.Refusal(request.code(), request.rule());
+				decisions.add(refuse(queued.holder(), queued.request(), refusal, true, nowMillis));
+			}
+			else {
+				decisions.add(refuse(queued, request.code(), request.rule()));
 			}
+			this.queue.remove(queued.request().key());
 		}
-		decisions.addAll(dispatchQueued(nowMillis));
 		return decisions;
 	}
 
-	private HomeDecision refuse(QueuedRequest queued, ErrorCode code) {
+	private HomeDecision refuse(QueuedRequest queued, ErrorCode code, AdmissionRule rule) {
 		GrantRequest request = queued.request();
 		this.queue.remove(request.key());
 		return new HomeDecision(queued.holder(),
-				new GrantDecision.Refused(request.requestId(), request.attempt(), code, RETRY_AFTER_MILLIS));
+				new GrantDecision.Refused(request.requestId(), request.attempt(), code, RETRY_AFTER_MILLIS), rule);
 	}
 
 	private List<HomeDecision> dispatchQueued(long nowMillis) {
@@ -307,8 +370,18 @@
 	public synchronized List<HomeDecision> observe(Collection<EndpointReport> reports, Set<EndpointId> outEndpoints,
 			long nowMillis) {
 		detectPause(nowMillis);
+		int previousLimit = limit(nowMillis);
 		this.allocations.observe(reports, outEndpoints, nowMillis);
-		return dispatchQueued(nowMillis);
+		List<HomeDecision> decisions = new ArrayList<>();
+		if (this.queue.size() > 0 && limit(nowMillis) < previousLimit) {
+			decisions.addAll(refuse(this.rules.unreachable(nowMillis), nowMillis));
+		}
+		decisions.addAll(dispatchQueued(nowMillis));
+		return decisions;
+	}
+
+	private int limit(long nowMillis) {
+		return this.allocations.endpoints().stream().mapToInt((endpoint) -> endpoint.limit(nowMillis)).sum();
 	}
 
 	/**
@@ -366,7 +439,10 @@
 		if (!isOut) {
 			return List.of();
 		}
-		return this.queue.all().stream().map((queued) -> refuse(queued, ErrorCode.ZONE_OUT)).toList();
+		return this.queue.all()
+			.stream()
+			.map((queued) -> refuse(queued, ErrorCode.ZONE_OUT, AdmissionRule.NONE))
+			.toList();
 	}
 
 	/**
@@ -374,7 +450,10 @@
 	 * @return the refusals
 	 */
 	public synchronized List<HomeDecision> stepDown() {
-		return this.queue.all().stream().map((queued) -> refuse(queued, ErrorCode.NOT_HOME)).toList();
+		return this.queue.all()
+			.stream()
+			.map((queued) -> refuse(queued, ErrorCode.NOT_HOME, AdmissionRule.NONE))
+			.toList();
 	}
 
 	/**
@@ -429,7 +508,18 @@
 			.stream()
 			.map((endpoint) -> endpoint.describe(nowMillis))
 			.toList();
-		return "queued=" + this.queue.size() + " longTokens=" + this.queue.longTokens() + " endpoints=" + endpoints;
+		String teams = this.rules.describe();
+		return "queued=" + this.queue.size() + " longTokens=" + this.queue.longTokens() + " endpoints=" + endpoints
+				+ (teams.isEmpty() ? "" : " " + teams);
+	}
+
+	/**
+	 * Returns what the teams have received from this home and wait for.
+	 * @return at most {@link TeamUsage#MAX_REPORTED_TEAMS} teams; empty if the home does
+	 * not share the engines' time among teams
+	 */
+	public synchronized List<TeamUsage> teams() {
+		return this.rules.teams();
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/request/GrantRequest.java
@@ -24,12 +24,29 @@
  * is due at the deadline
  * @param parallelPrefill the parallel prefill if helpers are requested that each prefill
  * a part of the prompt, instead of one endpoint that answers; null otherwise
+ * @param fingerprint a hash of the path, key and body of the caller's request, by which a
+ * caller that returns is recognized; {@link #NO_FINGERPRINT} for none
+ * @param priority the priority, from {@link #HIGHEST_PRIORITY} to
+ * {@link #LOWEST_PRIORITY}; a higher number is taken for the lowest priority
  */
 public record GrantRequest(String requestId, int attempt, TeamId team, String model, long promptTokens,
 		long answerTokens, long prefixHash, long deadlineMillis, boolean isIsolated, Set<EndpointId> excluded,
-		LatencyTarget latencyTarget, ParallelPrefill parallelPrefill) {
+		LatencyTarget latencyTarget, ParallelPrefill parallelPrefill, long fingerprint, int priority) {
+
+	/** The request has no fingerprint. */
+	public static final long NO_FINGERPRINT = 0;
+
+	/** The highest priority. */
+	public static final int HIGHEST_PRIORITY = 0;
+
+	/** The priority of a request for which none is known. */
+	public static final int DEFAULT_PRIORITY = 5;
+
+	/** The lowest priority. */
+	public static final int LOWEST_PRIORITY = 9;
 
 	public GrantRequest {
+		priority = Math.max(HIGHEST_PRIORITY, Math.min(LOWEST_PRIORITY, priority));
 		excluded = Set.copyOf(excluded);
 		latencyTarget = (latencyTarget != null) ? latencyTarget : LatencyTarget.untilDeadline(deadlineMillis);
 	}
@@ -40,6 +57,13 @@
 				excluded, null, null);
 	}
 
+	public GrantRequest(String requestId, int attempt, TeamId team, String model, long promptTokens, long answerTokens,
+			long prefixHash, long deadlineMillis, boolean isIsolated, Set<EndpointId> excluded,
+			LatencyTarget latencyTarget, ParallelPrefill parallelPrefill) {
+		this(requestId, attempt, team, model, promptTokens, answerTokens, prefixHash, deadlineMillis, isIsolated,
+				excluded, latencyTarget, parallelPrefill, NO_FINGERPRINT, DEFAULT_PRIORITY);
+	}
+
 	/**
 	 * Returns the key that identifies the attempt.
 	 * @return request id and attempt
@@ -65,7 +89,7 @@
 	public GrantRequest forHome(String home, int maxParts) {
 		return new GrantRequest(this.requestId + "." + home, this.attempt, this.team, this.model, this.promptTokens,
 				this.answerTokens, this.prefixHash, this.deadlineMillis, this.isIsolated, this.excluded,
-				this.latencyTarget, this.parallelPrefill.withMaxParts(maxParts));
+				this.latencyTarget, this.parallelPrefill.withMaxParts(maxParts), this.fingerprint, this.priority);
 	}
 
 	/**
@@ -76,7 +100,7 @@
 	public GrantRequest shifted(long deltaMillis) {
 		return new GrantRequest(this.requestId, this.attempt, this.team, this.model, this.promptTokens,
 				this.answerTokens, this.prefixHash, this.deadlineMillis + deltaMillis, this.isIsolated, this.excluded,
-				this.latencyTarget.shifted(deltaMillis), this.parallelPrefill);
+				this.latencyTarget.shifted(deltaMillis), this.parallelPrefill, this.fingerprint, this.priority);
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -19,6 +20,8 @@
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.InstanceId;
+import org.poplarloom.core.admission.AdmissionRule;
+import org.poplarloom.core.admission.TeamUsage;
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.process.HomeDecision;
 import org.poplarloom.core.process.HomeSummary;
@@ -188,8 +191,7 @@
 		Home existing = this.homes.get(shard);
 		if (isHome && existing == null && this.mayTakeOver) {
 			logger.info("taking over shard {}", shard);
-			ShardHome home = ShardHome.of(this.placementPolicies.get(), this.settings.ramp(),
-					now + this.settings.settleMillis(), this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS);
+			ShardHome home = newHome(now);
 			home.setOut(this.activeConfiguration.state().isZoneOut(shard.zone()), now);
 			this.homes.put(shard, new Home(home));
 		}
@@ -200,6 +202,15 @@
 		}
 	}
 
+	private ShardHome newHome(long now) {
+		long settleEndMillis = now + this.settings.settleMillis();
+		long agreementMillis = this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS;
+		PlacementPolicy policy = this.placementPolicies.get();
+		return this.settings.load().hasTeamShares()
+				? ShardHome.withTeamShares(policy, this.settings.ramp(), settleEndMillis, agreementMillis)
+				: ShardHome.of(policy, this.settings.ramp(), settleEndMillis, agreementMillis);
+	}
+
 	private void releaseEndedHolders(long now) {
 		this.instances.possibleHolders().forEach((instance) -> this.lastSeenMillis.put(instance, now));
 		for (Map.Entry<InstanceId, Long> entry : this.lastSeenMillis.entrySet()) {
@@ -284,9 +295,9 @@
 			return;
 		}
 		this.pendingReplies.put(request.key(), new PendingReply(reply, this.clock.nowMillis()));
-		GrantDecision decision = home.shardHome().request(holder, request, !isFailFast, this.clock.nowMillis());
-		if (!(decision instanceof GrantDecision.Queued)) {
-			sendDecisions(List.of(new HomeDecision(holder, decision)));
+		HomeDecision decision = home.shardHome().decide(holder, request, !isFailFast, this.clock.nowMillis());
+		if (!(decision.decision() instanceof GrantDecision.Queued)) {
+			sendDecisions(List.of(decision));
 		}
 	}
 
@@ -367,6 +378,9 @@
 
 	private void sendDecisions(List<HomeDecision> decisions) {
 		for (HomeDecision decision : decisions) {
+			if (decision.rule() != AdmissionRule.NONE) {
+				logRule(decision);
+			}
 			if (decision.decision() instanceof GrantDecision.Granted granted) {
 				reply(granted.grant().key(), grantAcquired(granted.grant()));
 			}
@@ -377,6 +391,19 @@
 		}
 	}
 
+	private void logRule(HomeDecision decision) {
+		if (decision.decision() instanceof GrantDecision.Granted granted) {
+			GrantRequest request = granted.grant().request();
+			logger.info("request={} event=queue decision=granted_late rule={} team={} priority={} late_ms={}",
+					request.requestId(), decision.rule().text(), request.team(), request.priority(),
+					this.clock.nowMillis() - request.latencyTarget().firstTokenTargetMillis());
+		}
+		else if (decision.decision() instanceof GrantDecision.Refused refused) {
+			logger.info("request={} event=queue decision={} rule={} retry_after_ms={}", refused.requestId(),
+					refused.code().text(), decision.rule().text(), refused.retryAfterMillis());
+		}
+	}
+
 	private void reply(String key, Message message) {
 		PendingReply pending = this.pendingReplies.remove(key);
 		if (pending != null) {
@@ -394,6 +421,24 @@
 		return new Message.GrantAcquired(grant, addresses, bootIds);
 	}
 
+	/**
+	 * Returns what each team has received from the local homes and waits for there.
+	 * @return the figures by name: for each team, {@code served_ms}, {@code waiting} and
+	 * {@code refused}; empty if the engines' time is not shared among teams
+	 */
+	public Map<String, Long> teamFigures() {
+		List<TeamUsage> usages = new ArrayList<>();
+		this.homes.values().forEach((home) -> usages.addAll(home.shardHome().teams()));
+		Map<String, Long> figures = new TreeMap<>();
+		for (TeamUsage usage : TeamUsage.summarize(usages)) {
+			String prefix = "admission." + usage.team() + ".";
+			figures.put(prefix + "served_ms", (long) usage.servedMillis());
+			figures.put(prefix + "waiting", (long) usage.waiting());
+			figures.put(prefix + "refused", usage.refused());
+		}
+		return figures;
+	}
+
 	/**
 	 * Returns whether this instance is the home of no shard.
 	 * @return true if there is no local shard
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -113,6 +113,7 @@
 		this.metrics.registerGauge("memory.held_bytes", memory::heldBytes);
 		this.metrics.registerGauge("memory.capacity_bytes", memory::capacityBytes);
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
+		this.metrics.registerGauges(() -> this.node.localHomes().teamFigures());
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 		this.routing.whenActivated(() -> this.loop.execute(this.callerServer::applyLimits));
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/GrantSearch.java
@@ -210,7 +210,8 @@
 		RelayRequest request = this.criteria.request();
 		return new GrantRequest(this.criteria.id() + "." + this.grantRequestCount, 1, this.criteria.team(),
 				this.criteria.serviceName(), request.promptTokens(), request.answerTokens(), 0,
-				this.criteria.deadlineMillis(), false, excluded(), latencyTarget, prefill);
+				this.criteria.deadlineMillis(), false, excluded(), latencyTarget, prefill, this.criteria.fingerprint(),
+				this.criteria.priority());
 	}
 
 	private Set<EndpointId> excluded() {
@@ -234,9 +235,13 @@
 	 * waiting for it, and the longest pause between two events
 	 * @param excluded endpoints that must not be used, since they have failed the
 	 * request; the search adds endpoints that are not serving
+	 * @param fingerprint a hash of the request's path, key and body, or
+	 * {@link GrantRequest#NO_FINGERPRINT}
+	 * @param priority the priority of the request, 0 for the highest
 	 */
 	record Criteria(RelayRequest request, String id, TeamId team, String serviceName, PrefillPlan plan,
-			long deadlineMillis, LatencyTarget latencyTarget, Set<EndpointId> excluded) {
+			long deadlineMillis, LatencyTarget latencyTarget, Set<EndpointId> excluded, long fingerprint,
+			int priority) {
 
 		static LatencyTarget latencyTarget(Route route, long startedMillis, long deadlineMillis) {
 			return new LatencyTarget(startedMillis + route.latencyTargetMillis(),
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
@@ -1,8 +1,11 @@
 package org.poplarloom.entry.relay;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
@@ -25,6 +28,8 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
+	private final List<Supplier<Map<String, Long>>> changingGauges = new CopyOnWriteArrayList<>();
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome how it ended
@@ -81,6 +86,15 @@
 		this.registry.gauge(name, () -> value);
 	}
 
+	/**
+	 * Registers gauges whose names change, which are read each time the metrics are
+	 * written.
+	 * @param values supplies the values by name
+	 */
+	public void registerGauges(Supplier<Map<String, Long>> values) {
+		this.changingGauges.add(values);
+	}
+
 	/**
 	 * Formats all metrics as text.
 	 * @return one metric per line, as its name and its value; times in milliseconds
@@ -91,6 +105,7 @@
 			appendLine(text, counter.getKey(), counter.getValue().getCount());
 		}
 		this.registry.getGauges().forEach((name, gauge) -> appendLine(text, name, gauge.getValue()));
+		this.changingGauges.forEach((values) -> values.get().forEach((name, value) -> appendLine(text, name, value)));
 		for (Map.Entry<String, Timer> timer : this.registry.getTimers().entrySet()) {
 			Snapshot snapshot = timer.getValue().getSnapshot();
 			appendLine(text, timer.getKey() + ".count", timer.getValue().getCount());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -20,10 +20,12 @@
 import org.poplarloom.core.Executed;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.TeamId;
+import org.poplarloom.core.request.GrantRequest;
 import org.poplarloom.core.request.LatencyTarget;
 import org.poplarloom.core.version.PrefillPlan;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
+import org.poplarloom.entry.request.Fingerprint;
 import org.poplarloom.entry.request.PlannedStop;
 import org.poplarloom.port.relay.RelayRequest;
 
@@ -93,6 +95,8 @@
 
 	private PrefillPlan prefillPlan;
 
+	private long returnFingerprint = GrantRequest.NO_FINGERPRINT;
+
 	private long firstEventMillis = NOT_MEASURED;
 
 	private long lastWriteMillis = NOT_MEASURED;
@@ -144,11 +148,27 @@
 				this.deadlineMillis);
 		GrantSearch.Criteria criteria = new GrantSearch.Criteria(this.request,
 				this.request.id() + "." + this.attemptCount, teamId(), this.serviceName, this.prefillPlan,
-				this.deadlineMillis, latencyTarget, this.excluded);
+				this.deadlineMillis, latencyTarget, this.excluded, returnFingerprint(), priority());
 		this.grantSearch = new GrantSearch(this.service, criteria, this::startAttempt, this::grantRefused);
 		this.grantSearch.start();
 	}
 
+	// Homes recognize callers that return only if they share time among teams.
+	private long returnFingerprint() {
+		if (!this.service.node().settings().load().hasTeamShares()) {
+			return GrantRequest.NO_FINGERPRINT;
+		}
+		if (this.returnFingerprint == GrantRequest.NO_FINGERPRINT) {
+			this.returnFingerprint = Fingerprint.of(this.request.target(), this.request.apiKey(), this.request.body());
+		}
+		return this.returnFingerprint;
+	}
+
+	private int priority() {
+		boolean hasTeamPriority = this.team != null && this.team.priority() != RoutingTable.Team.NO_PRIORITY;
+		return hasTeamPriority ? this.team.priority() : this.route.priority();
+	}
+
 	private TeamId teamId() {
 		return (this.team != null) ? this.team.id() : PUBLIC_TEAM;
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Fingerprint.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/Fingerprint.java
@@ -1,10 +1,13 @@
 package org.poplarloom.entry.request;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
+import org.poplarloom.core.request.GrantRequest;
+
 /**
  * Hashes that identify callers' keys and request contents.
  * <p>
@@ -47,6 +50,20 @@
 		return HexFormat.of().formatHex(digest.digest(body)).substring(0, CONTENT_HASH_CHARACTERS);
 	}
 
+	/**
+	 * Returns the hash by which homes recognize a caller that returns with a request.
+	 * @param path the path with its query
+	 * @param key the caller's key, or null
+	 * @param body the body
+	 * @return the first 64 bits of the SHA-256, not 0
+	 */
+	public static long of(String path, String key, byte[] body) {
+		MessageDigest digest = sha256();
+		digest.update((path + "\n" + key + "\n").getBytes(StandardCharsets.UTF_8));
+		long hash = ByteBuffer.wrap(digest.digest(body)).getLong();
+		return (hash != GrantRequest.NO_FINGERPRINT) ? hash : 1;
+	}
+
 	private static MessageDigest sha256() {
 		try {
 			return MessageDigest.getInstance("SHA-256");
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -48,7 +48,7 @@
 
 	private static final GrantRequest REQUEST = new GrantRequest("r", 2, TeamId.of("rota"), "model", 1_000, 50, 77,
 			123_456, true, Set.of(EndpointId.of("e1")), LatencyTarget.untilDeadline(99),
-			new ParallelPrefill(2, 3, 1.5, 9));
+			new ParallelPrefill(2, 3, 1.5, 9), 0x8000_0000_0000_0001L, 7);
 
 	private static final Grant GRANT = new Grant(REQUEST, List.of(new Share(EndpointId.of("e2"), 1_050)),
 			new FencingToken(99), 200_000, 30, true, 1_500);
