--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayMetrics.java
@@ -28,7 +28,7 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
-	private final List<Supplier<Map<String, Long>>> groups = new CopyOnWriteArrayList<>();
+	private final List<Supplier<Map<String, Long>>> changingGauges = new CopyOnWriteArrayList<>();
 
 	/**
 	 * Records the end of a request.
@@ -87,11 +87,12 @@
 	}
 
 	/**
-	 * Registers values whose names are known only when the metrics are written.
+	 * Registers gauges whose names change, which are read each time the metrics are
+	 * written.
 	 * @param values supplies the values by name
 	 */
-	public void registerGroup(Supplier<Map<String, Long>> values) {
-		this.groups.add(values);
+	public void registerGauges(Supplier<Map<String, Long>> values) {
+		this.changingGauges.add(values);
 	}
 
 	/**
@@ -104,7 +105,7 @@
 			appendLine(text, counter.getKey(), counter.getValue().getCount());
 		}
 		this.registry.getGauges().forEach((name, gauge) -> appendLine(text, name, gauge.getValue()));
-		this.groups.forEach((values) -> values.get().forEach((name, value) -> appendLine(text, name, value)));
+		this.changingGauges.forEach((values) -> values.get().forEach((name, value) -> appendLine(text, name, value)));
 		for (Map.Entry<String, Timer> timer : this.registry.getTimers().entrySet()) {
 			Snapshot snapshot = timer.getValue().getSnapshot();
 			appendLine(text, timer.getKey() + ".count", timer.getValue().getCount());
