Keep confirmations of readers that cannot read any more

Cause: a reader that says that it cannot read moves behind its members in the order of readers, and what it had confirmed before no longer counted, so all members of its zone read at once.

Change: what a member has confirmed while it was before this instance goes on to count. Replies to equal fetches and their compressed form are kept, since all members of a zone fetch the same records at about the same time.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -90,6 +90,12 @@
 
 	private final PeerFetches fetches;
 
+	/** All members of a zone fetch the same records at about the same time. */
+	private volatile Reply lastReply = new Reply(null, 0, null);
+
+	/** Counts changes of the copy, some of which do not move its position. */
+	private volatile long changes;
+
 	/**
 	 * Creates a follower, which does nothing until it is started.
 	 * @param table the name of the table
@@ -311,6 +317,7 @@
 	// The records are in the copy already, and whatever fails on them, an error such as a
 	// stack overflow too, must end neither the reads nor the scheduled tasks.
 	private void notifyListener(List<Entry> entries) {
+		this.changes++;
 		try {
 			this.listener.accept(entries);
 		}
@@ -365,12 +372,19 @@
 		if (!this.copy.next().isAfter(fetch.from())) {
 			this.scheduler.execute(this::refresh);
 		}
+		long changesBefore = this.changes;
 		TablePosition next = this.copy.next();
+		Reply last = this.lastReply;
+		if (fetch.equals(last.fetch) && changesBefore == last.changes && next.equals(last.content.next())) {
+			return last.content;
+		}
 		List<Message.TableRecord> found = this.copy.recordsSince(fetch.from())
 			.stream()
 			.map(TableFollower::toMessage)
 			.toList();
-		return new Message.TableContent(this.table, next, found, fetch.acceptsCompressed());
+		Message.TableContent content = new Message.TableContent(this.table, next, found, fetch.acceptsCompressed());
+		this.lastReply = new Reply(fetch, changesBefore, content);
+		return content;
 	}
 
 	private void refresh() {
@@ -444,6 +458,12 @@
 		return this.recoveredMillis;
 	}
 
+	/**
+	 * The reply to a fetch, and how often the copy had changed before.
+	 */
+	private record Reply(Message.TableFetch fetch, long changes, Message.TableContent content) {
+	}
+
 	/**
 	 * The reads, as the fetches from peers see them.
 	 */
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableReaders.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableReaders.java
@@ -55,6 +55,9 @@
 
 	private final Map<InstanceId, Report> reports = new HashMap<>();
 
+	/** What members have confirmed while they were before this one in the order. */
+	private Confirmed confirmed = Confirmed.NEVER;
+
 	private boolean readsByAge;
 
 	/**
@@ -111,33 +114,33 @@
 		this.reports.keySet().retainAll(order);
 		this.reports.values().forEach((report) -> report.confirm(self.positions()));
 		int index = order.indexOf(this.membership.self().id());
-		Confirmed confirmed = confirmedBy((index >= 0) ? order.subList(0, index) : order);
+		this.confirmed = this.confirmed.max(confirmedBy((index >= 0) ? order.subList(0, index) : order));
 		// Members do not confirm copies of one that drains, so it is among the first to
 		// read.
 		int rank = (index >= 0) ? index : this.settings.perZone();
 		if (live.size() < this.settings.minInstances()) {
 			this.readsByAge = false;
-			return new Decision(Role.INDEPENDENT, "few_members", rank, confirmed);
+			return new Decision(Role.INDEPENDENT, "few_members", rank, this.confirmed);
 		}
 		long maxAgeMillis = MAX_AGE_MILLIS
 				+ Math.min(MAX_RANK_MILLIS, AGE_MILLIS_PER_RANK * (rank - this.settings.perZone()));
-		long ageMillis = confirmed.ageMillis(nowMillis);
+		long ageMillis = this.confirmed.ageMillis(nowMillis);
 		this.readsByAge = (this.readsByAge ? ageMillis : Math.min(ageMillis, self.readAgeMillis())) > maxAgeMillis;
-		return decide(self.isHome(), rank, confirmed);
+		return decide(self.isHome(), rank);
 	}
 
-	private Decision decide(boolean isHome, int rank, Confirmed confirmed) {
+	private Decision decide(boolean isHome, int rank) {
 		if (isHome) {
-			return new Decision(Role.READER, "home", rank, confirmed);
+			return new Decision(Role.READER, "home", rank, this.confirmed);
 		}
 		if (rank == 0) {
-			return new Decision(Role.READER, "rank", rank, confirmed);
+			return new Decision(Role.READER, "rank", rank, this.confirmed);
 		}
 		if (this.readsByAge) {
-			return new Decision(Role.READER, "age", rank, confirmed);
+			return new Decision(Role.READER, "age", rank, this.confirmed);
 		}
-		return (rank < this.settings.perZone()) ? new Decision(Role.STANDBY, "rank", rank, confirmed)
-				: new Decision(Role.LEARNER, "confirmed", rank, confirmed);
+		return (rank < this.settings.perZone()) ? new Decision(Role.STANDBY, "rank", rank, this.confirmed)
+				: new Decision(Role.LEARNER, "confirmed", rank, this.confirmed);
 	}
 
 	private List<InstanceId> order(List<Member> live, Self self, long nowMillis) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -82,7 +82,7 @@
 
 	private double lostNoticeRatio;
 
-	private long storeCalls;
+	private final Map<String, Long> storeCalls = new TreeMap<>();
 
 	private boolean storeSilent;
 
@@ -131,10 +131,10 @@
 	}
 
 	/**
-	 * Returns the number of calls that the store has received or would have received.
-	 * @return the count since the start
+	 * Returns how many calls instances have made to the store, also if they were lost.
+	 * @return the count since the start by instance and kind of call
 	 */
-	long storeCalls() {
+	Map<String, Long> storeCalls() {
 		return this.storeCalls;
 	}
 
@@ -304,13 +304,13 @@
 		}, STORE_DELAY_MILLIS);
 	}
 
-	private <T> CompletableFuture<T> newCall(Instance caller, long waitMillis) {
+	private <T> CompletableFuture<T> newCall(Instance caller, String kind, long waitMillis) {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		if (caller.isDead) {
 			return result;
 		}
 		if (!caller.isFrozen) {
-			this.storeCalls++;
+			this.storeCalls.merge(caller.settings.instance() + " " + kind, 1L, Long::sum);
 		}
 		if (caller.storeUnreachable) {
 			schedule(() -> result.completeExceptionally(new ConnectException("cannot connect")), STORE_DELAY_MILLIS);
@@ -550,7 +550,7 @@
 
 		@Override
 		public CompletableFuture<Page> readNewest(String table) {
-			CompletableFuture<Page> result = newCall(this, 0);
+			CompletableFuture<Page> result = newCall(this, "read newest " + table, 0);
 			answerLater(this, result, page(table, 0));
 			return result;
 		}
@@ -558,7 +558,7 @@
 		@Override
 		public CompletableFuture<Page> read(String table, TablePosition position, long waitMillis) {
 			long from = position.offset();
-			CompletableFuture<Page> result = newCall(this, waitMillis);
+			CompletableFuture<Page> result = newCall(this, "read " + table, waitMillis);
 			Page page = page(table, from);
 			if (this.isFrozen) {
 				return result;
@@ -582,7 +582,7 @@
 
 		@Override
 		public CompletableFuture<TablePosition> put(String table, String key, byte[] value) {
-			CompletableFuture<TablePosition> result = newCall(this, 0);
+			CompletableFuture<TablePosition> result = newCall(this, "put " + table, 0);
 			schedule(() -> {
 				if (canReachStore() && !this.isFrozen) {
 					answerLater(this, result, TablePosition.of(SimulatedFleet.this.era,
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReaderCallsTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReaderCallsTests.java
@@ -1,6 +1,8 @@
 package org.poplarloom.entry.process;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import org.testng.Assert;
@@ -85,7 +87,7 @@
 
 	@DataProvider
 	public static Object[] loads() {
-		return java.util.Arrays.stream(Load.values()).map(Load::name).toArray();
+		return Arrays.stream(Load.values()).map(Load::name).toArray();
 	}
 
 	/** Guards against readers that cost as much as if every instance read. */
@@ -111,18 +113,21 @@
 					WorkerStandIn.entry("model", ZONES.get(i % ZONES.size()), "ready", "10.1.0." + i + ":80"));
 		}
 		fleet.advance(START_MILLIS);
-		long before = fleet.storeCalls();
-		long sentBefore = fleet.sentMessages().values().stream().mapToLong(Long::longValue).sum();
+		long before = sum(fleet.storeCalls());
+		long sentBefore = sum(fleet.sentMessages());
 		Load.valueOf(load).course.accept(fleet);
-		long calls = fleet.storeCalls() - before;
+		long calls = sum(fleet.storeCalls()) - before;
 		if (Boolean.getBoolean("readers.report")) {
 			System.out.println(load + " instances " + instances + " readers " + readers.perZone() + " calls " + calls
-					+ " messages "
-					+ (fleet.sentMessages().values().stream().mapToLong(Long::longValue).sum() - sentBefore));
+					+ " messages " + (sum(fleet.sentMessages()) - sentBefore));
 		}
 		return calls;
 	}
 
+	private static long sum(Map<String, Long> counts) {
+		return counts.values().stream().mapToLong(Long::longValue).sum();
+	}
+
 	private static void publish(SimulatedFleet fleet, int version) {
 		fleet.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION_KEY,
 				CallerStandIn.configuration(version, "model", "app"));
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReadersTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReadersTests.java
@@ -191,6 +191,20 @@
 		Assert.assertEquals(decide(readers, START_MILLIS + 2_000).reason(), "age");
 	}
 
+	/**
+	 * Guards against a zone whose members all read at once when its reader says that it
+	 * cannot read the store, because that moves it behind them in the order.
+	 */
+	@Test
+	public void aReaderThatCannotReadAnyMoreDoesNotRevokeItsConfirmations() {
+		List<InstanceId> order = order();
+		TableReaders readers = readers(index(order.get(5)), 2);
+		confirm(readers, order.get(0), true, KNOWN, START_MILLIS);
+		Assert.assertEquals(decide(readers, START_MILLIS + 500).role(), Role.LEARNER);
+		confirm(readers, order.get(0), false, KNOWN, START_MILLIS);
+		Assert.assertEquals(decide(readers, START_MILLIS + 1_500).role(), Role.LEARNER);
+	}
+
 	/** Guards against copies that are checked by the table that is read more often. */
 	@Test
 	public void theOlderCopyCounts() {
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -13,8 +13,7 @@
  * <p>
  * The content is an array of protocol version, message type, correlation id, reply flag
  * and the message's fields. Large table content is compressed, if the receiver can read
- * that. A frame that cannot be decoded completely is refused. This class has no state and
- * is thread-safe.
+ * that. A frame that cannot be decoded completely is refused. This class is thread-safe.
  */
 public final class MessageCodec {
 
@@ -45,6 +44,9 @@
 			Message.TableContent.class, Message.TableNotice.class, Message.CrashReport.class,
 			Message.SurvivalQuery.class, Message.SurvivalReply.class, Message.EndpointLeaving.class);
 
+	/** The same content is sent to all members of a zone in turn. */
+	private static volatile Compressed lastCompressed = new Compressed(null, null);
+
 	private MessageCodec() {
 	}
 
@@ -81,10 +83,19 @@
 		if (!(message instanceof Message.TableContent content) || !content.isCompressible()) {
 			return null;
 		}
+		Compressed last = lastCompressed;
+		if (last.content == content) {
+			return last.fields;
+		}
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			RecordCodec.write(packer, content);
 			byte[] fields = packer.toByteArray();
-			return (fields.length > MIN_COMPRESSED_BYTES) ? Compression.compress(fields) : null;
+			if (fields.length <= MIN_COMPRESSED_BYTES) {
+				return null;
+			}
+			Compressed compressed = new Compressed(content, Compression.compress(fields));
+			lastCompressed = compressed;
+			return compressed.fields;
 		}
 	}
 
@@ -127,6 +138,12 @@
 		}
 	}
 
+	/**
+	 * Table content and its compressed fields.
+	 */
+	private record Compressed(Message.TableContent content, byte[] fields) {
+	}
+
 	/**
 	 * A message and the request that it belongs to.
 	 *
