Refuse late requests that later arrivals keep from being served

A late request waited until its client timeout although requests that can be in time took all capacity. Late requests are measured at a rate of their own, and the end of the queue is judged at each tick.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/DrainRate.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/DrainRate.java
@@ -15,7 +15,7 @@
 	private static final double TIME_CONSTANT_MILLIS = 5_000;
 
 	/** Weight of the assumption that an endpoint serves 1 ms per ms, in milliseconds. */
-	private static final double ASSUMED_MILLIS = 1_000;
+	private static final double ASSUMED_MILLIS = 200;
 
 	/**
 	 * Lower limit in milliseconds of engine time per millisecond, so that a queue that
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/Lane.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/Lane.java
@@ -24,10 +24,19 @@
  */
 final class Lane {
 
+	/**
+	 * Least rate at which long prompts are served if there are several endpoints, in
+	 * milliseconds of engine time per millisecond and endpoint: overdue ones go first,
+	 * and one endpoint after another is kept for them.
+	 */
+	private static final double OVERDUE_RATE = 0.5;
+
 	private final String name;
 
 	private final TeamShares shares;
 
+	private final boolean isLong;
+
 	private final DrainRate drainRate;
 
 	/** Late requests are served with what is left by those that are in time. */
@@ -47,8 +56,9 @@
 
 	private int size;
 
-	Lane(String name, TeamShares shares, long startMillis) {
+	Lane(String name, TeamShares shares, boolean isLong, long startMillis) {
 		this.name = name;
+		this.isLong = isLong;
 		this.shares = shares;
 		this.drainRate = new DrainRate(startMillis);
 		this.lateRate = new DrainRate(startMillis);
@@ -87,7 +97,8 @@
 	 * @return milliseconds of engine time per millisecond, more than 0
 	 */
 	double rate(int endpoints) {
-		return this.drainRate.rate(endpoints);
+		double rate = this.drainRate.rate(endpoints);
+		return (this.isLong && endpoints > 1) ? Math.max(OVERDUE_RATE * endpoints, rate) : rate;
 	}
 
 	void add(Waiting waiting, long nowMillis) {
@@ -218,13 +229,10 @@
 	 * Estimates how long a request would wait if it is late.
 	 * @param waiting the request; if it is in the lane, it is not counted
 	 * @param endpoints the number of endpoints that serve the lane
+	 * @param nowMillis the time in milliseconds
 	 * @return milliseconds from 0
 	 */
-	double lateWaitMillis(Waiting waiting, int endpoints) {
-		double first = this.overdueMillis;
-		for (TeamQueue queue : this.inTime.values()) {
-			first += queue.totalMillis() - (queue.contains(waiting) ? waiting.engineMillis() : 0);
-		}
+	double lateWaitMillis(Waiting waiting, int endpoints, long nowMillis) {
 		double earlier = 0;
 		if (!this.late.isEmpty() && Waiting.BY_TIMEOUT.compare(this.late.last(), waiting) < 0) {
 			earlier = this.lateMillis;
@@ -234,9 +242,34 @@
 				earlier += other.engineMillis();
 			}
 		}
-		double ownMillis = waiting.engineMillis();
-		return Math.max(0, first) / rate(endpoints)
-				+ (Math.max(0, earlier) + ownMillis) / this.lateRate.rate(endpoints);
+		double inTimeMillis = inTimeMillis();
+		TeamQueue own = this.inTime.get(waiting.team());
+		if (own != null && own.contains(waiting)) {
+			inTimeMillis -= waiting.engineMillis();
+		}
+		return lateWaitMillis(waiting, new LateAhead(inTimeMillis, earlier), endpoints, nowMillis);
+	}
+
+	private double inTimeMillis() {
+		double sum = 0;
+		for (TeamQueue queue : this.inTime.values()) {
+			sum += queue.totalMillis();
+		}
+		return sum;
+	}
+
+	// A late short request waits for all that can be in time, and gets the rate of late
+	// ones. A late long prompt becomes overdue and then goes first.
+	private double lateWaitMillis(Waiting waiting, LateAhead ahead, int endpoints, long nowMillis) {
+		double overdue = Math.max(0, this.overdueMillis);
+		double earlier = Math.max(0, ahead.lateMillis());
+		double inTime = Math.max(0, ahead.inTimeMillis());
+		if (!this.isLong) {
+			return (overdue + inTime) / rate(endpoints) + earlier / this.lateRate.rate(endpoints);
+		}
+		double afterInTime = (overdue + inTime + earlier) / rate(endpoints);
+		double onceOverdue = Math.max(waiting.overdueMillis() - nowMillis, (overdue + earlier) / rate(endpoints));
+		return Math.min(afterInTime, onceOverdue);
 	}
 
 	Iterator<QueuedRequest> overdueOrder() {
@@ -258,18 +291,21 @@
 		List<Waiting> unreachable = new ArrayList<>();
 		TreeSet<Waiting> afterwards = new TreeSet<>(Waiting.BY_TIMEOUT);
 		afterwards.addAll(this.late);
-		double waitMillis = this.overdueMillis / rate(endpoints);
+		double inTimeMillis = 0;
 		for (Waiting waiting : inSimulatedOrder()) {
+			double waitMillis = (this.overdueMillis + inTimeMillis) / rate(endpoints);
 			if (nowMillis + waitMillis <= waiting.latestStartMillis()) {
-				waitMillis += waiting.engineMillis() / rate(endpoints);
+				inTimeMillis += waiting.engineMillis();
 			}
 			else {
 				afterwards.add(waiting);
 			}
 		}
+		double earlier = 0;
 		for (Waiting waiting : afterwards) {
+			double waitMillis = lateWaitMillis(waiting, new LateAhead(inTimeMillis, earlier), endpoints, nowMillis);
 			if (nowMillis + waitMillis <= waiting.latestUsefulStartMillis()) {
-				waitMillis += waiting.engineMillis() / this.lateRate.rate(endpoints);
+				earlier += waiting.engineMillis();
 			}
 			else {
 				unreachable.add(waiting);
@@ -278,6 +314,39 @@
 		return unreachable;
 	}
 
+	/**
+	 * Finds the late requests at the end of the lane that cannot be served before their
+	 * client timeouts at the present rate.
+	 * @param endpoints the number of endpoints that serve the lane
+	 * @param nowMillis the time in milliseconds
+	 * @return the requests
+	 */
+	List<Waiting> hopeless(int endpoints, long nowMillis) {
+		if (this.late.isEmpty()) {
+			return List.of();
+		}
+		List<Waiting> hopeless = new ArrayList<>();
+		double inTimeMillis = inTimeMillis();
+		double earlier = this.lateMillis;
+		for (Waiting waiting : this.late.descendingSet()) {
+			earlier -= waiting.engineMillis();
+			double waitMillis = lateWaitMillis(waiting, new LateAhead(inTimeMillis, earlier), endpoints, nowMillis);
+			if (nowMillis + waitMillis <= waiting.latestUsefulStartMillis()) {
+				break;
+			}
+			hopeless.add(waiting);
+		}
+		return hopeless;
+	}
+
+	/**
+	 * Returns one of the requests.
+	 * @return a request, or null if the lane is empty
+	 */
+	Waiting any() {
+		return this.changes.isEmpty() ? null : this.changes.first();
+	}
+
 	List<Waiting> all() {
 		return new ArrayList<>(this.changes);
 	}
@@ -324,6 +393,15 @@
 
 	}
 
+	/**
+	 * The engine time that is served before a late request, in milliseconds.
+	 *
+	 * @param inTimeMillis that of requests that can be in time
+	 * @param lateMillis that of late requests with earlier client timeouts
+	 */
+	private record LateAhead(double inTimeMillis, double lateMillis) {
+	}
+
 	/**
 	 * The next request of a team and the virtual time by which it is ordered.
 	 */
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
@@ -196,7 +196,7 @@
 		if (waiting.place() == Waiting.Place.IN_TIME && nowMillis + waitMillis <= waiting.latestStartMillis()) {
 			return new Estimate(waiting, waitMillis, waitMillis, rate, AdmissionRule.NONE);
 		}
-		double lateWaitMillis = settling + lane.lateWaitMillis(waiting, endpoints);
+		double lateWaitMillis = settling + lane.lateWaitMillis(waiting, endpoints, nowMillis);
 		if (nowMillis + lateWaitMillis <= waiting.latestUsefulStartMillis()) {
 			return new Estimate(waiting, lateWaitMillis, waitMillis, rate, AdmissionRule.NONE);
 		}
@@ -226,6 +226,34 @@
 		return expired;
 	}
 
+	/**
+	 * Finds the late requests that cannot be served before their client timeouts at the
+	 * present rate, since requests that can be in time come first.
+	 * @param nowMillis the time in milliseconds
+	 * @return the requests
+	 */
+	List<Waiting> hopeless(long nowMillis) {
+		List<Waiting> hopeless = new ArrayList<>();
+		for (Lane lane : lanes()) {
+			lane.advance(nowMillis);
+			Waiting any = lane.any();
+			if (any != null) {
+				updateRate(lane, any.request(), nowMillis);
+				hopeless.addAll(lane.hopeless(this.capacity.endpoints(any.request()), nowMillis));
+			}
+		}
+		return hopeless;
+	}
+
+	private List<Lane> lanes() {
+		List<Lane> lanes = new ArrayList<>();
+		this.services.values().forEach((service) -> {
+			lanes.add(service.shortLane);
+			lanes.add(service.longLane);
+		});
+		return lanes;
+	}
+
 	/**
 	 * Finds the queued requests that cannot be served before their client timeouts at the
 	 * present rate and with the present endpoints.
@@ -234,16 +262,13 @@
 	 */
 	List<Waiting> unreachable(long nowMillis) {
 		List<Waiting> unreachable = new ArrayList<>();
-		for (ServiceLanes service : this.services.values()) {
-			for (Lane lane : List.of(service.shortLane, service.longLane)) {
-				lane.advance(nowMillis);
-				Iterator<QueuedRequest> order = lane.dispatchOrder();
-				if (order.hasNext()) {
-					GrantRequest any = order.next().request();
-					updateRate(lane, any, nowMillis);
-					int endpoints = this.capacity.endpoints(any);
-					unreachable.addAll((endpoints > 0) ? lane.unreachable(endpoints, nowMillis) : lane.all());
-				}
+		for (Lane lane : lanes()) {
+			lane.advance(nowMillis);
+			Waiting any = lane.any();
+			if (any != null) {
+				updateRate(lane, any.request(), nowMillis);
+				int endpoints = this.capacity.endpoints(any.request());
+				unreachable.addAll((endpoints > 0) ? lane.unreachable(endpoints, nowMillis) : lane.all());
 			}
 		}
 		return unreachable;
@@ -335,8 +360,8 @@
 		private final Lane longLane;
 
 		ServiceLanes(String name, long startMillis) {
-			this.shortLane = new Lane(name + "/short", this.shares, startMillis);
-			this.longLane = new Lane(name + "/long", this.shares, startMillis);
+			this.shortLane = new Lane(name + "/short", this.shares, false, startMillis);
+			this.longLane = new Lane(name + "/long", this.shares, true, startMillis);
 		}
 
 		int size() {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
@@ -181,6 +181,12 @@
 			expired.add(new Unservable(waiting.queued(),
 					isTimeUp ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.DEADLINE_UNREACHABLE, rule));
 		}
+		for (Waiting waiting : this.queue.hopeless(nowMillis)) {
+			if (waiting.latestUsefulStartMillis() >= nowMillis) {
+				expired.add(new Unservable(waiting.queued(), ErrorCode.DEADLINE_UNREACHABLE,
+						(waiting.rule() != AdmissionRule.NONE) ? waiting.rule() : AdmissionRule.LATE_REQUESTS_AHEAD));
+			}
+		}
 		return expired;
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/Waiting.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/Waiting.java
@@ -127,6 +127,10 @@
 		return this.latestStartMillis;
 	}
 
+	long overdueMillis() {
+		return this.overdueMillis;
+	}
+
 	long latestUsefulStartMillis() {
 		return this.latestUsefulStartMillis;
 	}
--- a/poplarloom-core/src/test/java/org/poplarloom/core/admission/AdmissionLoad.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/admission/AdmissionLoad.java
@@ -421,7 +421,8 @@
 					+ this.firstMillis.stream().mapToLong(Long::longValue).max().orElse(0) + " longest_refusal_ms="
 					+ this.refusalMillis.stream().mapToLong(Long::longValue).max().orElse(0) + " refusals="
 					+ this.refusalMillis.size() + " at_once="
-					+ this.refusalMillis.stream().filter((millis) -> millis == 0).count();
+					+ this.refusalMillis.stream().filter((millis) -> millis == 0).count() + " soon="
+					+ this.refusalMillis.stream().filter((millis) -> millis < 400).count();
 		}
 
 	}
