--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -112,14 +112,14 @@
 		return finishMillis(chosen.get(chosen.size() - 1), prefillMillis / chosen.size(), nowMillis);
 	}
 
-	private static List<EndpointAllocations> candidates(GrantRequest request, List<EndpointAllocations> endpoints,
+	static List<EndpointAllocations> candidates(GrantRequest request, List<EndpointAllocations> endpoints,
 			long nowMillis) {
 		List<EndpointAllocations> candidates = Placements.admitting(request, endpoints, nowMillis);
 		candidates.removeIf((endpoint) -> endpoint.freeKvTokens() < request.kvTokens());
 		return candidates;
 	}
 
-	private static boolean isLongOnKnownEngines(GrantRequest request, List<EndpointAllocations> candidates) {
+	static boolean isLongOnKnownEngines(GrantRequest request, List<EndpointAllocations> candidates) {
 		return request.lengthClass().isLong() && candidates.get(0).report().engine() != null;
 	}
 
@@ -134,33 +134,45 @@
 	}
 
 	// Endpoints that are not cold come first, all alike.
-	private static Comparator<EndpointAllocations> mostRateLeft(long nowMillis) {
+	static Comparator<EndpointAllocations> mostRateLeft(long nowMillis) {
 		return Comparator.comparingDouble((EndpointAllocations endpoint) -> -endpoint.coldLimit().available(nowMillis))
 			.thenComparingLong((endpoint) -> endpoint.coldLimit().lastColdGrantMillis(nowMillis));
 	}
 
-	private static List<Share> onOneEndpoint(GrantRequest request, EndpointAllocations endpoint) {
+	static List<Share> onOneEndpoint(GrantRequest request, EndpointAllocations endpoint) {
 		return List.of(new Share(endpoint.id(), request.kvTokens()));
 	}
 
 	private static List<Share> placeShort(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
-		List<EndpointAllocations> suitable = candidates.stream()
-			.filter((endpoint) -> !endpoint.hasLongPrefill()
-					&& !endpoint.wouldExceedPauseLimit(endpoint.prefillMillis(request.promptTokens()), PAUSE_FRACTION))
-			.toList();
+		List<EndpointAllocations> suitable = suitableForShort(request, candidates);
 		if (suitable.isEmpty()) {
 			return List.of();
 		}
-		List<EndpointAllocations> withRoom = suitable.stream()
-			.filter((endpoint) -> endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots()
-					&& endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS)
-			.toList();
+		List<EndpointAllocations> withRoom = withRoom(suitable, nowMillis);
 		if (!withRoom.isEmpty()) {
 			return onOneEndpoint(request, packed(withRoom, nowMillis));
 		}
 		EndpointAllocations best = leastDelayed(suitable, nowMillis);
-		double delayMillis = best.backlogMillis(nowMillis) + best.prefillMillis(request.promptTokens());
-		return (delayMillis <= budgetMillis(request, nowMillis)) ? onOneEndpoint(request, best) : List.of();
+		return startsWithinTarget(request, best, nowMillis) ? onOneEndpoint(request, best) : List.of();
+	}
+
+	static List<EndpointAllocations> suitableForShort(GrantRequest request, List<EndpointAllocations> candidates) {
+		return candidates.stream()
+			.filter((endpoint) -> !endpoint.hasLongPrefill()
+					&& !endpoint.wouldExceedPauseLimit(endpoint.prefillMillis(request.promptTokens()), PAUSE_FRACTION))
+			.toList();
+	}
+
+	static List<EndpointAllocations> withRoom(List<EndpointAllocations> suitable, long nowMillis) {
+		return suitable.stream()
+			.filter((endpoint) -> endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots()
+					&& endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS)
+			.toList();
+	}
+
+	static boolean startsWithinTarget(GrantRequest request, EndpointAllocations endpoint, long nowMillis) {
+		double delayMillis = endpoint.backlogMillis(nowMillis) + endpoint.prefillMillis(request.promptTokens());
+		return delayMillis <= budgetMillis(request, nowMillis);
 	}
 
 	private static EndpointAllocations packed(List<EndpointAllocations> candidates, long nowMillis) {
@@ -172,12 +184,26 @@
 	}
 
 	private static EndpointAllocations leastDelayed(List<EndpointAllocations> candidates, long nowMillis) {
-		return candidates.stream()
-			.min(Comparator
-				.comparingDouble(
-						(EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running())
-				.thenComparing(mostRateLeft(nowMillis)))
-			.orElseThrow();
+		return candidates.stream().min(leastDelay(nowMillis)).orElseThrow();
+	}
+
+	static Comparator<EndpointAllocations> leastDelay(long nowMillis) {
+		return Comparator
+			.comparingDouble((EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running())
+			.thenComparing(mostRateLeft(nowMillis));
+	}
+
+	/**
+	 * Returns how many idle endpoints would prefill a long prompt within its target.
+	 * @param request the request
+	 * @param candidates the endpoints that admit it, at least one
+	 * @param nowMillis the time in milliseconds
+	 * @return the number, from 1 to the largest number that is worth the transfer
+	 */
+	static int partsWithinTarget(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
+		double prefillMillis = candidates.get(0).prefillMillis(request.promptTokens());
+		double budgetMillis = Math.max(1, budgetMillis(request, nowMillis));
+		return (int) Math.min(maxParts(prefillMillis), Math.ceil(prefillMillis / budgetMillis));
 	}
 
 	private static List<Share> placeLong(GrantRequest request, List<EndpointAllocations> candidates,
