--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -48,7 +48,7 @@
 	private static final double MAX_SHORT_BACKLOG_MILLIS = 110;
 
 	/** Fraction of its slots up to which an endpoint is packed with short prompts. */
-	private static final double PACKED_SLOT_FRACTION = 0.75;
+	static final double PACKED_SLOT_FRACTION = 0.75;
 
 	@Override
 	public List<Share> place(GrantRequest request, List<EndpointAllocations> endpoints, ShortPromptLoad load,
@@ -193,19 +193,6 @@
 			.thenComparing(mostRateLeft(nowMillis));
 	}
 
-	/**
-	 * Returns how many idle endpoints would prefill a long prompt within its target.
-	 * @param request the request
-	 * @param candidates the endpoints that admit it, at least one
-	 * @param nowMillis the time in milliseconds
-	 * @return the number, from 1 to the largest number that is worth the transfer
-	 */
-	static int partsWithinTarget(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
-		double prefillMillis = candidates.get(0).prefillMillis(request.promptTokens());
-		double budgetMillis = Math.max(1, budgetMillis(request, nowMillis));
-		return (int) Math.min(maxParts(prefillMillis), Math.ceil(prefillMillis / budgetMillis));
-	}
-
 	private static List<Share> placeLong(GrantRequest request, List<EndpointAllocations> candidates,
 			double budgetMillis, long nowMillis) {
 		double prefillMillis = candidates.get(0).prefillMillis(request.promptTokens());
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
@@ -15,26 +15,31 @@
  * {@link CostPlacement} does.
  * <p>
  * A short prompt goes to the endpoint with the earlier expected first event of two that
- * are sampled among those that keep the pause limit. As many endpoints as the long
- * prompts of the last 10 s needed, at most half, get no short prompts while the others
- * can start them in time. Calls of plain services go to the endpoint with the fewest
- * running requests. Equal endpoints are chosen at random. While it is not active, all
- * decisions are those of {@link CostPlacement}. An object serves one home, whose lock
- * guards its state.
+ * are sampled among those that are open to short prompts and keep the pause limit. All
+ * endpoints are open if there was no long prompt in the last 10 s; otherwise those with
+ * the most running requests, as many as take the short prompts if each is filled as
+ * {@link CostPlacement} fills it, so that as many endpoints stay free for long prompts.
+ * Calls of plain services go to the endpoint with the fewest running requests. Equal
+ * endpoints are chosen at random. While it is not active, all decisions are those of
+ * {@link CostPlacement}. An object serves one home, whose lock guards its state.
  */
 public final class EvenPlacement implements PlacementPolicy {
 
-	/** Largest fraction of the endpoints that is kept free for long prompts. */
-	private static final double MAX_FREE_FRACTION = 0.5;
+	/**
+	 * Time after a long prompt in which short prompts use as few endpoints as without
+	 * spreading, in milliseconds. Bursts of long prompts come seconds apart, and an
+	 * answer to a short prompt occupies its endpoint for 1 to 2 s.
+	 */
+	private static final long LONG_MEMORY_MILLIS = 10_000;
 
 	private final CostPlacement costPlacement = new CostPlacement();
 
-	private final RecentMaximum neededByLong = new RecentMaximum();
-
 	private final BooleanSupplier isActive;
 
 	private final Random random;
 
+	private long lastLongMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates the policy of one home.
 	 * @param isActive whether load is spread now; it must not take a lock
@@ -53,11 +58,10 @@
 		}
 		List<EndpointAllocations> candidates = CostPlacement.candidates(request, endpoints, nowMillis);
 		if (candidates.isEmpty() || CostPlacement.isLongOnKnownEngines(request, candidates)) {
-			List<Share> shares = this.costPlacement.place(request, endpoints, load, nowMillis);
-			recordNeed(request, candidates, endpoints, shares, nowMillis);
-			return shares;
+			recordLong(request, nowMillis);
+			return this.costPlacement.place(request, endpoints, load, nowMillis);
 		}
-		List<Share> withinTarget = placeEvenly(request, endpoints, candidates, nowMillis);
+		List<Share> withinTarget = placeEvenly(request, candidates, nowMillis);
 		return !withinTarget.isEmpty() ? withinTarget
 				: CostPlacement.onOneEndpoint(request, anyBest(candidates, CostPlacement.leastDelay(nowMillis)));
 	}
@@ -70,18 +74,15 @@
 		}
 		List<EndpointAllocations> candidates = CostPlacement.candidates(request, endpoints, nowMillis);
 		if (candidates.isEmpty() || CostPlacement.isLongOnKnownEngines(request, candidates)) {
-			List<Share> shares = this.costPlacement.placeWithinTarget(request, endpoints, load, nowMillis);
-			recordNeed(request, candidates, endpoints, shares, nowMillis);
-			return shares;
+			recordLong(request, nowMillis);
+			return this.costPlacement.placeWithinTarget(request, endpoints, load, nowMillis);
 		}
-		return placeEvenly(request, endpoints, candidates, nowMillis);
+		return placeEvenly(request, candidates, nowMillis);
 	}
 
 	@Override
 	public List<Share> placeParts(GrantRequest request, List<EndpointAllocations> endpoints, long nowMillis) {
-		if (this.isActive.getAsBoolean()) {
-			this.neededByLong.add(prefillingLong(endpoints) + request.parallelPrefill().minParts(), nowMillis);
-		}
+		recordLong(request, nowMillis);
 		return this.costPlacement.placeParts(request, endpoints, nowMillis);
 	}
 
@@ -90,32 +91,20 @@
 		return this.costPlacement.estimateFirstTokenMillis(request, endpoints, nowMillis);
 	}
 
-	// A long prompt that is placed needs its endpoints, one that is not needs as many as
-	// would prefill it in time.
-	private void recordNeed(GrantRequest request, List<EndpointAllocations> candidates,
-			List<EndpointAllocations> endpoints, List<Share> shares, long nowMillis) {
-		if (!request.lengthClass().isLong() || candidates.isEmpty()) {
-			return;
+	private void recordLong(GrantRequest request, long nowMillis) {
+		if (request.lengthClass().isLong()) {
+			this.lastLongMillis = nowMillis;
 		}
-		int wanted = !shares.isEmpty() ? shares.size()
-				: CostPlacement.partsWithinTarget(request, candidates, nowMillis);
-		this.neededByLong.add(prefillingLong(endpoints) + wanted, nowMillis);
-	}
-
-	private static int prefillingLong(List<EndpointAllocations> endpoints) {
-		return (int) endpoints.stream().filter(EndpointAllocations::hasLongPrefill).count();
 	}
 
-	private List<Share> placeEvenly(GrantRequest request, List<EndpointAllocations> endpoints,
-			List<EndpointAllocations> candidates, long nowMillis) {
+	private List<Share> placeEvenly(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
 		if (request.promptTokens() == 0) {
 			return CostPlacement.onOneEndpoint(request,
 					anyBest(candidates, Comparator.comparingInt(EndpointAllocations::running)
 						.thenComparing(CostPlacement.mostRateLeft(nowMillis))));
 		}
 		List<EndpointAllocations> suitable = CostPlacement.suitableForShort(request, candidates);
-		List<EndpointAllocations> withRoom = CostPlacement.withRoom(notKeptFree(suitable, endpoints, nowMillis),
-				nowMillis);
+		List<EndpointAllocations> withRoom = CostPlacement.withRoom(openToShort(suitable, nowMillis), nowMillis);
 		if (!withRoom.isEmpty()) {
 			return CostPlacement.onOneEndpoint(request, betterOfTwo(withRoom, nowMillis));
 		}
@@ -127,17 +116,22 @@
 				: List.of();
 	}
 
-	// Endpoints that already generate answers come first, so that those kept free are
-	// idle ones. Endpoints that prefill a long prompt count as kept free.
-	private List<EndpointAllocations> notKeptFree(List<EndpointAllocations> suitable,
-			List<EndpointAllocations> endpoints, long nowMillis) {
-		int keptFree = Math.min(this.neededByLong.value(nowMillis), (int) (endpoints.size() * MAX_FREE_FRACTION))
-				- prefillingLong(endpoints);
+	// Endpoints that already generate answers come first, so that the others stay idle.
+	private List<EndpointAllocations> openToShort(List<EndpointAllocations> suitable, long nowMillis) {
+		if (suitable.isEmpty() || nowMillis - this.lastLongMillis > LONG_MEMORY_MILLIS) {
+			return suitable;
+		}
 		List<EndpointAllocations> ordered = new ArrayList<>(suitable);
 		Collections.shuffle(ordered, this.random);
 		ordered.sort(Comparator.comparingInt(EndpointAllocations::running).reversed());
-		int size = Math.max(1, ordered.size() - Math.max(0, keptFree));
-		return ordered.subList(0, Math.min(ordered.size(), size));
+		int open = 0;
+		double room = 0;
+		while (open < ordered.size() && room < 1) {
+			EndpointAllocations next = ordered.get(open);
+			room += CostPlacement.PACKED_SLOT_FRACTION * next.report().slots() - next.running();
+			open++;
+		}
+		return ordered.subList(0, open);
 	}
 
 	// Cold endpoints tolerate a low rate only, so the next request goes to the one with
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/EvenPlacementTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/EvenPlacementTests.java
@@ -31,18 +31,25 @@
 	/** A zone of the first deployment of the design page. */
 	private static final Zone ZONE_P = new Zone("P", 20, 8, 315_000,
 			new EngineModel(1.31, 0.0013, 0.00213, 177, 0.184, 34),
-			List.of(new Kind("short", 17, 4_960, 263, 250, 10_500),
-					new Kind("medium", 1.86, 45_000, 1_520, 600, 10_100),
-					new Kind("long", 0.57, 220_000, 8_035, 1_000, 15_000)),
-			2.5, 5_000, 10_000);
+			List.of(new Kind("short", 17, 4_960, 263, 250, 10_500, 2.5),
+					new Kind("medium", 1.86, 45_000, 1_520, 600, 10_100, 2.5),
+					new Kind("long", 0.57, 220_000, 8_035, 1_000, 15_000, 2.5)),
+			5_000, 10_000);
 
 	/** A zone of the second deployment of the design page. */
 	private static final Zone ZONE_W = new Zone("W", 15, 8, 232_000,
 			new EngineModel(1.31, 0.0013, 0.00213, 206, 0.138, 34),
-			List.of(new Kind("short", 15.3, 4_960, 304, 250, 10_100),
-					new Kind("medium", 1.05, 45_000, 1_506, 600, 10_000),
-					new Kind("long", 0.5, 190_000, 3_010, 1_000, 15_000)),
-			2.9, 5_000, 10_000);
+			List.of(new Kind("short", 15.3, 4_960, 304, 250, 10_100, 2.9),
+					new Kind("medium", 1.05, 45_000, 1_506, 600, 10_000, 2.9),
+					new Kind("long", 0.5, 190_000, 3_010, 1_000, 15_000, 2.9)),
+			5_000, 10_000);
+
+	/** The second deployment with long prompts only in bursts that are 20 s apart. */
+	private static final Zone ZONE_WITH_RARE_LONG_PROMPTS = new Zone("rare", 15, 8, 232_000,
+			new EngineModel(1.31, 0.0013, 0.00213, 206, 0.138, 34),
+			List.of(new Kind("short", 15.3, 4_960, 304, 250, 10_100, 1),
+					new Kind("long", 0.01, 190_000, 3_010, 1_000, 15_000, 150)),
+			3_000, 10_000);
 
 	private static PlacementPolicy even(long seed) {
 		return new EvenPlacement(() -> true, new Random(seed));
@@ -78,6 +85,11 @@
 			compare(ZONE_W.times(1.5)).check();
 		}
 
+		@Test
+		public void longPromptsAfterAPause() {
+			compare(ZONE_WITH_RARE_LONG_PROMPTS).check();
+		}
+
 		@Test
 		public void overloadedZone() {
 			compare(ZONE_P.times(3)).check();
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/MixedLoadSimulation.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/MixedLoadSimulation.java
@@ -115,7 +115,7 @@
 			int burst = (int) (millis / this.zone.burstPeriodMillis);
 			boolean isBurst = millis % this.zone.burstPeriodMillis < this.zone.burstMillis
 					&& this.zone.kinds.get(burst % this.zone.kinds.size()) == kind;
-			double perSecond = kind.perSecond * (isBurst ? this.zone.burstFactor : 1);
+			double perSecond = kind.perSecond * (isBurst ? kind.burstFactor : 1);
 			millis += -Math.log(1 - this.random.nextDouble()) / perSecond * MILLIS_PER_SECOND;
 			if (millis >= durationMillis) {
 				return;
@@ -152,13 +152,14 @@
 	 * @param targetMillis when the first event is due, in milliseconds
 	 * @param maxPauseMillis the longest pause between events, in milliseconds
 	 * @param timeoutMillis when the caller gives up, in milliseconds
+	 * @param burstFactor by how much the rate is higher in a burst of this kind
 	 */
 	record Kind(String name, double perSecond, long promptTokens, long targetMillis, long maxPauseMillis,
-			long timeoutMillis) {
+			long timeoutMillis, double burstFactor) {
 
 		Kind times(double factor) {
 			return new Kind(this.name, this.perSecond * factor, this.promptTokens, this.targetMillis,
-					this.maxPauseMillis, this.timeoutMillis);
+					this.maxPauseMillis, this.timeoutMillis, this.burstFactor);
 		}
 
 	}
@@ -167,11 +168,11 @@
 	 * The engines of a zone and their load; one kind after the other has a burst.
 	 */
 	record Zone(String name, int engines, int slots, long kvTokens, EngineModel engine, List<Kind> kinds,
-			double burstFactor, double burstMillis, double burstPeriodMillis) {
+			double burstMillis, double burstPeriodMillis) {
 
 		Zone times(double factor) {
 			return new Zone(this.name + "x" + factor, this.engines, this.slots, this.kvTokens, this.engine,
-					this.kinds.stream().map((kind) -> kind.times(factor)).toList(), this.burstFactor, this.burstMillis,
+					this.kinds.stream().map((kind) -> kind.times(factor)).toList(), this.burstMillis,
 					this.burstPeriodMillis);
 		}
 
