--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -48,7 +48,7 @@
 	private static final double MAX_SHORT_BACKLOG_MILLIS = 110;
 
 	/** Fraction of its slots up to which an endpoint is packed with short prompts. */
-	private static final double PACKED_SLOT_FRACTION = 0.75;
+	static final double PACKED_SLOT_FRACTION = 0.75;
 
 	@Override
 	public List<Share> place(GrantRequest request, List<EndpointAllocations> endpoints, ShortPromptLoad load,
@@ -112,14 +112,14 @@
 		return finishMillis(chosen.get(chosen.size() - 1), prefillMillis / chosen.size(), nowMillis);
 	}
 
-	private static List<EndpointAllocations> candidates(GrantRequest request, List<EndpointAllocations> endpoints,
+	static List<EndpointAllocations> candidates(GrantRequest request, List<EndpointAllocations> endpoints,
 			long nowMillis) {
 		List<EndpointAllocations> candidates = Placements.admitting(request, endpoints, nowMillis);
 		candidates.removeIf((endpoint) -> endpoint.freeKvTokens() < request.kvTokens());
 		return candidates;
 	}
 
-	private static boolean isLongOnKnownEngines(GrantRequest request, List<EndpointAllocations> candidates) {
+	static boolean isLongOnKnownEngines(GrantRequest request, List<EndpointAllocations> candidates) {
 		return request.lengthClass().isLong() && candidates.get(0).report().engine() != null;
 	}
 
@@ -134,33 +134,45 @@
 	}
 
 	// Endpoints that are not cold come first, all alike.
-	private static Comparator<EndpointAllocations> mostRateLeft(long nowMillis) {
+	static Comparator<EndpointAllocations> mostRateLeft(long nowMillis) {
 		return Comparator.comparingDouble((EndpointAllocations endpoint) -> -endpoint.coldLimit().available(nowMillis))
 			.thenComparingLong((endpoint) -> endpoint.coldLimit().lastColdGrantMillis(nowMillis));
 	}
 
-	private static List<Share> onOneEndpoint(GrantRequest request, EndpointAllocations endpoint) {
+	static List<Share> onOneEndpoint(GrantRequest request, EndpointAllocations endpoint) {
 		return List.of(new Share(endpoint.id(), request.kvTokens()));
 	}
 
 	private static List<Share> placeShort(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
-		List<EndpointAllocations> suitable = candidates.stream()
-			.filter((endpoint) -> !endpoint.hasLongPrefill()
-					&& !endpoint.wouldExceedPauseLimit(endpoint.prefillMillis(request.promptTokens()), PAUSE_FRACTION))
-			.toList();
+		List<EndpointAllocations> suitable = suitableForShort(request, candidates);
 		if (suitable.isEmpty()) {
 			return List.of();
 		}
-		List<EndpointAllocations> withRoom = suitable.stream()
-			.filter((endpoint) -> endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots()
-					&& endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS)
-			.toList();
+		List<EndpointAllocations> withRoom = withRoom(suitable, nowMillis);
 		if (!withRoom.isEmpty()) {
 			return onOneEndpoint(request, packed(withRoom, nowMillis));
 		}
 		EndpointAllocations best = leastDelayed(suitable, nowMillis);
-		double delayMillis = best.backlogMillis(nowMillis) + best.prefillMillis(request.promptTokens());
-		return (delayMillis <= budgetMillis(request, nowMillis)) ? onOneEndpoint(request, best) : List.of();
+		return startsWithinTarget(request, best, nowMillis) ? onOneEndpoint(request, best) : List.of();
+	}
+
+	static List<EndpointAllocations> suitableForShort(GrantRequest request, List<EndpointAllocations> candidates) {
+		return candidates.stream()
+			.filter((endpoint) -> !endpoint.hasLongPrefill()
+					&& !endpoint.wouldExceedPauseLimit(endpoint.prefillMillis(request.promptTokens()), PAUSE_FRACTION))
+			.toList();
+	}
+
+	static List<EndpointAllocations> withRoom(List<EndpointAllocations> suitable, long nowMillis) {
+		return suitable.stream()
+			.filter((endpoint) -> endpoint.running() < PACKED_SLOT_FRACTION * endpoint.report().slots()
+					&& endpoint.backlogMillis(nowMillis) <= MAX_SHORT_BACKLOG_MILLIS)
+			.toList();
+	}
+
+	static boolean startsWithinTarget(GrantRequest request, EndpointAllocations endpoint, long nowMillis) {
+		double delayMillis = endpoint.backlogMillis(nowMillis) + endpoint.prefillMillis(request.promptTokens());
+		return delayMillis <= budgetMillis(request, nowMillis);
 	}
 
 	private static EndpointAllocations packed(List<EndpointAllocations> candidates, long nowMillis) {
@@ -172,12 +184,13 @@
 	}
 
 	private static EndpointAllocations leastDelayed(List<EndpointAllocations> candidates, long nowMillis) {
-		return candidates.stream()
-			.min(Comparator
-				.comparingDouble(
-						(EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running())
-				.thenComparing(mostRateLeft(nowMillis)))
-			.orElseThrow();
+		return candidates.stream().min(leastDelay(nowMillis)).orElseThrow();
+	}
+
+	static Comparator<EndpointAllocations> leastDelay(long nowMillis) {
+		return Comparator
+			.comparingDouble((EndpointAllocations endpoint) -> endpoint.backlogMillis(nowMillis) + endpoint.running())
+			.thenComparing(mostRateLeft(nowMillis));
 	}
 
 	private static List<Share> placeLong(GrantRequest request, List<EndpointAllocations> candidates,
--- /dev/null
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
@@ -0,0 +1,175 @@
+package org.poplarloom.core.process;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+
+import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.Share;
+
+/**
+ * Places short prompts and calls of plain services evenly, and long prompts as
+ * {@link CostPlacement} does.
+ * <p>
+ * A short prompt goes to the endpoint with the earlier expected first event of two that
+ * are sampled among those that are open to short prompts and keep the pause limit. All
+ * endpoints are open if there was no long prompt in the last 10 s; otherwise those with
+ * the most running requests, as many as take the short prompts if each is filled as
+ * {@link CostPlacement} fills it, so that as many endpoints stay free for long prompts.
+ * Calls of plain services go to the endpoint with the fewest running requests. Equal
+ * endpoints are chosen at random. While it is not active, all decisions are those of
+ * {@link CostPlacement}. An object serves one home, whose lock guards its state.
+ */
+public final class EvenPlacement implements PlacementPolicy {
+
+	/**
+	 * Time after a long prompt in which short prompts use as few endpoints as without
+	 * spreading, in milliseconds. Bursts of long prompts come seconds apart, and an
+	 * answer to a short prompt occupies its endpoint for 1 to 2 s.
+	 */
+	private static final long LONG_MEMORY_MILLIS = 10_000;
+
+	private final CostPlacement costPlacement = new CostPlacement();
+
+	private final BooleanSupplier isActive;
+
+	private final Random random;
+
+	private long lastLongMillis = Long.MIN_VALUE / 2;
+
+	/**
+	 * Creates the policy of one home.
+	 * @param isActive whether load is spread now; it must not take a lock
+	 * @param random the source of random numbers
+	 */
+	public EvenPlacement(BooleanSupplier isActive, Random random) {
+		this.isActive = isActive;
+		this.random = random;
+	}
+
+	@Override
+	public List<Share> place(GrantRequest request, List<EndpointAllocations> endpoints, ShortPromptLoad load,
+			long nowMillis) {
+		if (!this.isActive.getAsBoolean()) {
+			return this.costPlacement.place(request, endpoints, load, nowMillis);
+		}
+		List<EndpointAllocations> candidates = CostPlacement.candidates(request, endpoints, nowMillis);
+		if (candidates.isEmpty() || CostPlacement.isLongOnKnownEngines(request, candidates)) {
+			recordLong(request, nowMillis);
+			return this.costPlacement.place(request, endpoints, load, nowMillis);
+		}
+		List<Share> withinTarget = placeEvenly(request, candidates, nowMillis);
+		return !withinTarget.isEmpty() ? withinTarget
+				: CostPlacement.onOneEndpoint(request, anyBest(candidates, CostPlacement.leastDelay(nowMillis)));
+	}
+
+	@Override
+	public List<Share> placeWithinTarget(GrantRequest request, List<EndpointAllocations> endpoints,
+			ShortPromptLoad load, long nowMillis) {
+		if (!this.isActive.getAsBoolean()) {
+			return this.costPlacement.placeWithinTarget(request, endpoints, load, nowMillis);
+		}
+		List<EndpointAllocations> candidates = CostPlacement.candidates(request, endpoints, nowMillis);
+		if (candidates.isEmpty() || CostPlacement.isLongOnKnownEngines(request, candidates)) {
+			recordLong(request, nowMillis);
+			return this.costPlacement.placeWithinTarget(request, endpoints, load, nowMillis);
+		}
+		return placeEvenly(request, candidates, nowMillis);
+	}
+
+	@Override
+	public List<Share> placeParts(GrantRequest request, List<EndpointAllocations> endpoints, long nowMillis) {
+		recordLong(request, nowMillis);
+		return this.costPlacement.placeParts(request, endpoints, nowMillis);
+	}
+
+	@Override
+	public double estimateFirstTokenMillis(GrantRequest request, List<EndpointAllocations> endpoints, long nowMillis) {
+		return this.costPlacement.estimateFirstTokenMillis(request, endpoints, nowMillis);
+	}
+
+	private void recordLong(GrantRequest request, long nowMillis) {
+		if (request.lengthClass().isLong()) {
+			this.lastLongMillis = nowMillis;
+		}
+	}
+
+	private List<Share> placeEvenly(GrantRequest request, List<EndpointAllocations> candidates, long nowMillis) {
+		if (request.promptTokens() == 0) {
+			return CostPlacement.onOneEndpoint(request,
+					anyBest(candidates, Comparator.comparingInt(EndpointAllocations::running)
+						.thenComparing(CostPlacement.mostRateLeft(nowMillis))));
+		}
+		List<EndpointAllocations> suitable = CostPlacement.suitableForShort(request, candidates);
+		List<EndpointAllocations> withRoom = CostPlacement.withRoom(openToShort(suitable, nowMillis), nowMillis);
+		if (!withRoom.isEmpty()) {
+			return CostPlacement.onOneEndpoint(request, betterOfTwo(withRoom, nowMillis));
+		}
+		if (suitable.isEmpty()) {
+			return List.of();
+		}
+		EndpointAllocations best = anyBest(suitable, CostPlacement.leastDelay(nowMillis));
+		return CostPlacement.startsWithinTarget(request, best, nowMillis) ? CostPlacement.onOneEndpoint(request, best)
+				: List.of();
+	}
+
+	// Endpoints that already generate answers come first, so that the others stay idle.
+	private List<EndpointAllocations> openToShort(List<EndpointAllocations> suitable, long nowMillis) {
+		if (suitable.isEmpty() || nowMillis - this.lastLongMillis > LONG_MEMORY_MILLIS) {
+			return suitable;
+		}
+		List<EndpointAllocations> ordered = new ArrayList<>(suitable);
+		Collections.shuffle(ordered, this.random);
+		ordered.sort(Comparator.comparingInt(EndpointAllocations::running).reversed());
+		int open = 0;
+		double room = 0;
+		while (open < ordered.size() && room < 1) {
+			EndpointAllocations next = ordered.get(open);
+			room += CostPlacement.PACKED_SLOT_FRACTION * next.report().slots() - next.running();
+			open++;
+		}
+		return ordered.subList(0, open);
+	}
+
+	// Cold endpoints tolerate a low rate only, so the next request goes to the one with
+	// most of its rate left.
+	private EndpointAllocations betterOfTwo(List<EndpointAllocations> withRoom, long nowMillis) {
+		List<EndpointAllocations> warm = withRoom.stream()
+			.filter((endpoint) -> !endpoint.coldLimit().isCold(nowMillis))
+			.toList();
+		if (warm.isEmpty()) {
+			return anyBest(withRoom, CostPlacement.mostRateLeft(nowMillis));
+		}
+		EndpointAllocations first = warm.get(this.random.nextInt(warm.size()));
+		EndpointAllocations second = warm.get(this.random.nextInt(warm.size()));
+		return (CostPlacement.leastDelay(nowMillis).compare(second, first) < 0) ? second : first;
+	}
+
+	private EndpointAllocations anyBest(List<EndpointAllocations> candidates,
+			Comparator<EndpointAllocations> comparator) {
+		EndpointAllocations best = Collections.min(candidates, comparator);
+		List<EndpointAllocations> equal = candidates.stream()
+			.filter((endpoint) -> comparator.compare(endpoint, best) == 0)
+			.toList();
+		return equal.get(this.random.nextInt(equal.size()));
+	}
+
+	@Override
+	public int priority(GrantRequest request, boolean isUrgent) {
+		return this.costPlacement.priority(request, isUrgent);
+	}
+
+	@Override
+	public boolean hasLengthClasses() {
+		return this.costPlacement.hasLengthClasses();
+	}
+
+	@Override
+	public boolean isPrefillParallel() {
+		return this.costPlacement.isPrefillParallel();
+	}
+
+}
