Buffer answers for callers that read slowly, and bound what slow peers hold

Cause: an instance stopped reading an endpoint's answer as soon as its caller's connection was not writable, and an endpoint cuts off an answer that stays unread for some seconds. Bodies that arrive slowly, bodies that endpoints read slowly (copied whole into direct memory by the channel) and large answers held memory outside of the budget or without end.

Without the switch there is no room in the buffers, so reading stops as before. A request on a connection whose last response is not written counts as pipelined.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -19,7 +20,9 @@
 import org.poplarloom.core.process.MemoryBudget;
 import org.poplarloom.core.version.RoutingTable;
 import org.poplarloom.entry.Settings;
+import org.poplarloom.entry.relay.AnswerBuffers;
 import org.poplarloom.entry.relay.CallerServer;
+import org.poplarloom.entry.relay.IncomingBodies;
 import org.poplarloom.entry.relay.RelayMetrics;
 import org.poplarloom.entry.relay.RelayService;
 import org.poplarloom.entry.version.ActiveRouting;
@@ -60,6 +63,9 @@
 	/** Part of the exit reserve in which the last answers are written. */
 	private static final long LAST_ANSWERS_MILLIS = 200;
 
+	/** An endpoint that reads nothing of a body for so long holds its memory in vain. */
+	private static final long BODY_STALL_MILLIS = 5_000;
+
 	private static final long DRAIN_POLL_MILLIS = 100;
 
 	private static final long LAST_ANSWERS_POLL_MILLIS = 10;
@@ -101,23 +107,43 @@
 		this.entries = new PublishedEntries(this.routing, Clock.steady());
 		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), CostPlacement::new,
 				NodeRuntime.shared(settings, this.group));
-		HttpExchanger exchanger = new HttpExchanger(this.loop);
+		HttpExchanger exchanger = new HttpExchanger(this.loop,
+				settings.load().buffersSlowReaders() ? BODY_STALL_MILLIS : HttpExchanger.NO_BODY_STALL_LIMIT);
 		this.store = new StoreClient(this.loop, exchanger, platform.storeAddress());
 		MemoryBudget memory = new MemoryBudget(settings.bodyBudgetBytes());
+		AnswerBuffers answerBuffers = answerBuffers(memory);
+		IncomingBodies incomingBodies = incomingBodies(memory);
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
-				memory, new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
+				memory, answerBuffers, incomingBodies,
+				new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
 		this.node.observeLeaving((endpoint, bootId) -> this.relay.recordLeaving(endpoint, bootId));
 		this.metrics = this.relay.metrics();
 		this.metrics.registerGauge("connections.opened", exchanger::openedConnections);
 		this.metrics.registerGauge("connections.unexpected_data", exchanger::connectionsWithUnexpectedData);
 		this.metrics.registerGauge("memory.held_bytes", memory::heldBytes);
 		this.metrics.registerGauge("memory.capacity_bytes", memory::capacityBytes);
+		this.metrics.registerGauge("answers.buffered_bytes", answerBuffers::heldBytes);
+		this.metrics.registerGauge("answers.slow", answerBuffers::slowCount);
+		this.metrics.registerGauge("answers.paused", answerBuffers::pausedCount);
+		this.metrics.registerGauge("answers.cut_off", answerBuffers::cutOffCount);
+		this.metrics.registerGauge("bodies.given_up", incomingBodies::givenUpCount);
 		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 		this.routing.whenActivated(() -> this.loop.execute(this.callerServer::applyLimits));
 	}
 
+	private AnswerBuffers answerBuffers(MemoryBudget memory) {
+		LongSupplier nowMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		return this.settings.load().buffersSlowReaders() ? AnswerBuffers.ofBudget(memory, nowMillis)
+				: AnswerBuffers.withoutRoom(nowMillis);
+	}
+
+	private IncomingBodies incomingBodies(MemoryBudget memory) {
+		return this.settings.load().buffersSlowReaders() ? IncomingBodies.ofBudget(memory.capacityBytes(),
+				() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())) : IncomingBodies.unlimited();
+	}
+
 	/**
 	 * Starts an instance.
 	 * @param platform the settings that the platform gives
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
@@ -1,11 +1,11 @@
 package org.poplarloom.entry.relay;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -66,6 +66,17 @@
 	 */
 	private static final long DISCARD_MILLIS = 2_000;
 
+	/**
+	 * A stream that is complete is cut off so long after the timeout of its request: the
+	 * caller may take the last bytes, and sees the end within 0.5 s.
+	 */
+	private static final long DELIVERY_GRACE_MILLIS = 250;
+
+	/**
+	 * A longer answer is written piece by piece, since the socket copies what it gets.
+	 */
+	private static final int MAX_UNDIVIDED_BYTES = 64 * 1024;
+
 	private static final List<CharSequence> CONNECTION_HEADERS = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
 			HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.UPGRADE,
 			HttpHeaderNames.TRAILER, "Proxy-Connection");
@@ -83,7 +94,10 @@
 
 	private HttpRequest head;
 
-	private ByteBuf body;
+	private final ByteSegments body = new ByteSegments();
+
+	/** Identifies the connection among those that are sending a body. */
+	private final Runnable giveUpBody = this::giveUpBody;
 
 	private final MemoryBudget.Share memory;
 
@@ -100,6 +114,17 @@
 	/** Responses that have ended but have not been written to the socket completely. */
 	private int pendingWrites;
 
+	/** The bytes of the answer that are still to be written, or null if there is none. */
+	private AnswerBuffer buffer;
+
+	/** Whether the endpoint has sent the answer completely. */
+	private boolean bufferEnded;
+
+	/** Cuts off an answer that the caller does not take in time. */
+	private ScheduledFuture<?> deliveryTimer;
+
+	private long deliveryStallMillis;
+
 	private boolean closing;
 
 	private boolean discarding;
@@ -172,7 +197,7 @@
 		if (this.closing) {
 			return;
 		}
-		if (this.busy) {
+		if (this.busy || this.pendingWrites > 0) {
 			// Pipelining is not supported.
 			logger.info("event=pipelined_request request={}", (this.request != null) ? this.request.id() : "");
 			cancel("the caller sent another request before the answer");
@@ -218,7 +243,7 @@
 	private void startRequest(HttpRequest next) {
 		this.head = next;
 		this.limits = this.server.limits();
-		this.body = Unpooled.buffer();
+		this.body.clear();
 		this.keepAlive = HttpUtil.isKeepAlive(next);
 		startTimer(this.limits.headerTimeoutMillis() + this.limits.idleTimeoutMillis());
 		if (sizeOf(next.headers()) > this.limits.headerBytes()) {
@@ -247,18 +272,27 @@
 	}
 
 	private void appendBody(HttpContent content) {
-		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.bodyBytes()) {
+		int addedBytes = content.content().readableBytes();
+		if (this.body.sizeBytes() + addedBytes > this.limits.bodyBytes()) {
 			refuseTooLarge();
 			return;
 		}
-		if (!this.memory.tryResize(this.body.readableBytes() + content.content().readableBytes())) {
+		if (!this.memory.tryResize(this.body.allocatedBytes(addedBytes))) {
 			refuseForLackOfMemory();
 			return;
 		}
-		this.body.writeBytes(content.content());
+		this.body.append(content.content());
 		if (content instanceof LastHttpContent) {
 			dispatchRequest();
 		}
+		else {
+			this.relay.incomingBodies().record(this.giveUpBody, this.memory.sizeBytes());
+		}
+	}
+
+	private void giveUpBody() {
+		refuseIncomplete(new PoplarloomException(ErrorCode.INSTANCE_BUSY, Executed.NO,
+				"the request arrives too slowly, and others need the memory", MEMORY_RETRY_AFTER_MILLIS));
 	}
 
 	private void refuseTooLarge() {
@@ -285,10 +319,9 @@
 
 	private void dispatchRequest() {
 		stopTimer();
-		byte[] bytes = new byte[this.body.readableBytes()];
-		this.body.readBytes(bytes);
-		this.body.release();
-		this.body = null;
+		this.relay.incomingBodies().remove(this.giveUpBody);
+		byte[] bytes = this.body.pollAll();
+		this.memory.tryResize(bytes.length);
 		this.busy = true;
 		try {
 			this.request = this.protocol.read(this.head, bytes);
@@ -344,6 +377,7 @@
 	}
 
 	private void finishRequest(boolean isKeptOpen) {
+		closeBuffer();
 		this.busy = false;
 		this.run = null;
 		this.head = null;
@@ -357,21 +391,42 @@
 	}
 
 	private void releaseBody() {
+		this.relay.incomingBodies().remove(this.giveUpBody);
 		this.memory.close();
-		if (this.body != null) {
-			this.body.release();
-			this.body = null;
-		}
+		this.body.clear();
 	}
 
 	private void writeLast(HttpObject message, int heldBytes, boolean isKeptOpen) {
 		this.pendingWrites++;
 		writeHeld(message, heldBytes).addListener((result) -> {
 			this.pendingWrites--;
+			stopDeliveryTimer();
 			closeUnless(isKeptOpen && result.isSuccess());
 		});
 	}
 
+	private void startDeliveryTimer(long delayMillis) {
+		stopDeliveryTimer();
+		if (this.relay.answerBuffers().hasRoomForAny()) {
+			this.deliveryTimer = this.context.executor()
+				.schedule(this::cutOffDelivery, delayMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void stopDeliveryTimer() {
+		if (this.deliveryTimer != null) {
+			this.deliveryTimer.cancel(false);
+			this.deliveryTimer = null;
+		}
+	}
+
+	private void cutOffDelivery() {
+		logger.info("event=delivery_cut_off buffered_bytes={} unwritten_bytes={}",
+				(this.buffer != null) ? this.buffer.sizeBytes() : 0, this.unwritten.sizeBytes());
+		this.relay.answerBuffers().recordCutOff();
+		this.context.close();
+	}
+
 	private void closeUnless(boolean isKeptOpen) {
 		if (isKeptOpen) {
 			return;
@@ -392,8 +447,30 @@
 
 	@Override
 	public void answer(HttpResponse answer, byte[] content) {
+		HttpHeaders headers = withoutConnectionHeaders(answer.headers());
+		if (content.length > MAX_UNDIVIDED_BYTES && startDivided(answer, headers, content)) {
+			return;
+		}
 		writeResponse(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(),
-				Unpooled.wrappedBuffer(content), withoutConnectionHeaders(answer.headers()), new DefaultHttpHeaders()));
+				Unpooled.wrappedBuffer(content), headers, new DefaultHttpHeaders()));
+	}
+
+	private boolean startDivided(HttpResponse answer, HttpHeaders headers, byte[] content) {
+		// It takes no room from answers that are still being read.
+		AnswerBuffer whole = new AnswerBuffer(AnswerBuffers.withoutRoom(this.relay::nowMillis), "",
+				this.relay.memory().openShare(), (isReading) -> {
+				});
+		if (!whole.append(content)) {
+			return false;
+		}
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), headers);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+		this.keepAlive = setConnectionHeader(response);
+		this.buffer = whole;
+		this.context.writeAndFlush(response);
+		this.deliveryStallMillis = this.limits.idleTimeoutMillis();
+		endBuffered(this.deliveryStallMillis);
+		return true;
 	}
 
 	private static HttpHeaders withoutConnectionHeaders(HttpHeaders headers) {
@@ -411,26 +488,76 @@
 				withoutConnectionHeaders(answer.headers()));
 		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		this.keepAlive = setConnectionHeader(response);
+		this.buffer = new AnswerBuffer(this.relay.answerBuffers(), callerName(), this.relay.memory().openShare(),
+				this::setReading);
 		this.context.writeAndFlush(response);
 	}
 
+	private void setReading(boolean isReading) {
+		if (this.run != null) {
+			this.run.setReading(isReading);
+		}
+	}
+
+	// Callers of one team may read at different speeds on different machines.
+	private String callerName() {
+		String host = (this.context.channel().remoteAddress() instanceof InetSocketAddress address)
+				? address.getHostString() : "";
+		return this.request.apiKey() + "@" + host;
+	}
+
+	@Override
+	public void requireRoom() {
+		this.relay.answerBuffers().requireRoom(callerName());
+	}
+
 	@Override
 	public void writeChunk(byte[] content) {
-		if (this.unwritten.tryResize(this.unwritten.sizeBytes() + content.length)) {
-			writeHeld(new DefaultHttpContent(Unpooled.wrappedBuffer(content)), content.length);
+		boolean isDirect = this.buffer.isEmpty() && this.context.channel().isWritable();
+		if (isDirect ? writeDirect(content) : this.buffer.append(content)) {
 			return;
 		}
+		this.relay.answerBuffers().recordCutOff();
 		logger.warn("request={} event=memory_refused unwritten_bytes={} cause=\"the caller reads too slowly\"",
-				this.request.id(), this.unwritten.sizeBytes());
+				this.request.id(), this.unwritten.sizeBytes() + this.buffer.sizeBytes());
 		cancel("the caller reads too slowly");
 		this.context.close();
 	}
 
+	private boolean writeDirect(byte[] content) {
+		if (!this.unwritten.tryResize(this.unwritten.sizeBytes() + content.length)) {
+			return false;
+		}
+		writeHeld(new DefaultHttpContent(Unpooled.wrappedBuffer(content)), content.length);
+		return true;
+	}
+
 	@Override
-	public void endStream() {
-		boolean isKeptOpen = this.keepAlive;
-		finishRequest(isKeptOpen);
-		writeLast(LastHttpContent.EMPTY_LAST_CONTENT, 0, isKeptOpen);
+	public void endStream(long remainingMillis) {
+		this.deliveryStallMillis = 0;
+		endBuffered(Math.max(0, remainingMillis) + DELIVERY_GRACE_MILLIS);
+	}
+
+	// The request stays in progress until the last of its bytes is written.
+	private void endBuffered(long maxDelayMillis) {
+		this.run = null;
+		this.bufferEnded = true;
+		startDeliveryTimer(maxDelayMillis);
+		writeBuffered();
+	}
+
+	private void writeBuffered() {
+		while (this.buffer != null && !this.buffer.isEmpty() && this.context.channel().isWritable()) {
+			if (!writeDirect(this.buffer.poll())) {
+				this.context.close();
+				return;
+			}
+		}
+		if (this.buffer != null && this.buffer.isEmpty() && this.bufferEnded) {
+			boolean isKeptOpen = this.keepAlive;
+			finishRequest(isKeptOpen);
+			writeLast(LastHttpContent.EMPTY_LAST_CONTENT, 0, isKeptOpen);
+		}
 	}
 
 	@Override
@@ -441,20 +568,39 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-		if (this.run != null) {
-			this.run.setReading(ctx.channel().isWritable());
+		if (!ctx.channel().isWritable()) {
+			return;
+		}
+		if (this.deliveryTimer != null && this.deliveryStallMillis > 0) {
+			startDeliveryTimer(this.deliveryStallMillis);
 		}
+		writeBuffered();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		stopTimer();
+		stopDeliveryTimer();
 		this.server.remove(this);
 		cancel("the caller closed the connection");
 		releaseBody();
+		closeBuffer();
 		this.busy = false;
 	}
 
+	private void closeBuffer() {
+		if (this.buffer == null) {
+			return;
+		}
+		this.buffer.close();
+		String slowness = this.buffer.describe();
+		if (!slowness.isEmpty()) {
+			logger.info("request={} event=read_slowly {}", (this.request != null) ? this.request.id() : "", slowness);
+		}
+		this.buffer = null;
+		this.bufferEnded = false;
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		logger.debug("caller connection failed: {}", cause.toString());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerReply.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerReply.java
@@ -13,6 +13,13 @@
  */
 interface CallerReply {
 
+	/**
+	 * Requires that the caller may start a stream now.
+	 * @throws PoplarloomException if there is no room for one more stream that is read
+	 * slowly, as this caller reads the others
+	 */
+	void requireRoom();
+
 	/**
 	 * Sends an error that does not come from an endpoint.
 	 * @param failure the reason
@@ -39,9 +46,11 @@
 	void writeChunk(byte[] content);
 
 	/**
-	 * Ends a streamed answer as complete.
+	 * Ends a streamed answer as complete, once the caller has taken all its bytes.
+	 * @param remainingMillis the time until the request's timeout, at which an answer
+	 * that the caller has not taken is cut off, in milliseconds
 	 */
-	void endStream();
+	void endStream(long remainingMillis);
 
 	/**
 	 * Closes the connection so that the caller sees that the streamed answer is
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -39,6 +41,18 @@
 
 	private static final int ACCEPT_BACKLOG = 1_024;
 
+	/**
+	 * What a connection holds unwritten where answers are buffered: with the defaults of
+	 * 32 and 64 KB, 200 callers that do not read would hold 13 MB outside of the buffers.
+	 */
+	private static final WriteBufferWaterMark BUFFERED_WATER_MARK = new WriteBufferWaterMark(4 * 1024, 16 * 1024);
+
+	/**
+	 * The system would enlarge it to some megabytes for each caller that does not read;
+	 * 128 KB are enough for 14 Mbit/s with a round trip of 70 ms.
+	 */
+	private static final int SEND_BUFFER_BYTES = 128 * 1024;
+
 	private final EventLoopGroup group;
 
 	private final CallerProtocol protocol;
@@ -57,6 +71,11 @@
 		this.protocol = protocol;
 		this.relay = relay;
 		this.limits = limits;
+		if (relay.answerBuffers().hasRoomForAny()) {
+			group.next()
+				.scheduleWithFixedDelay(relay.answerBuffers()::serveTurns, AnswerBuffers.TURN_INTERVAL_MILLIS,
+						AnswerBuffers.TURN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	/**
@@ -71,6 +90,9 @@
 			protected void initChannel(SocketChannel channel) {
 				CallerConnection connection = new CallerConnection(CallerServer.this, CallerServer.this.protocol,
 						CallerServer.this.relay);
+				if (CallerServer.this.relay.answerBuffers().hasRoomForAny()) {
+					channel.config().setWriteBufferWaterMark(BUFFERED_WATER_MARK).setSendBufferSize(SEND_BUFFER_BYTES);
+				}
 				int headerBytes = Math.max(MAX_HEADER_BYTES, limits().headerBytes());
 				HttpDecoderConfig codecLimits = new HttpDecoderConfig().setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
 					.setMaxHeaderSize(headerBytes)
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -354,7 +354,7 @@
 	void endStream(HttpResponse head) {
 		startStream(head);
 		complete("streamed", "last event " + this.position.lastEventId() + " framing=" + framing(head).text());
-		this.reply.endStream();
+		this.reply.endStream(remainingMillis());
 	}
 
 	AnswerFraming framing(HttpResponse head) {
@@ -386,7 +386,7 @@
 
 	/**
 	 * Pauses or resumes reading the answer from the endpoint.
-	 * @param isReading true if the caller's connection can be written to
+	 * @param isReading true if there is room for more of the answer
 	 */
 	void setReading(boolean isReading) {
 		this.reading = isReading;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -56,6 +56,10 @@
 
 	private final MemoryBudget memory;
 
+	private final AnswerBuffers answerBuffers;
+
+	private final IncomingBodies incomingBodies;
+
 	private final RetryLimit retryLimit;
 
 	private final RelayMetrics metrics = new RelayMetrics();
@@ -75,10 +79,13 @@
 	 * @param protocol the wire format of endpoints
 	 * @param loop the event loop
 	 * @param memory limits the memory that requests and answers hold
+	 * @param answerBuffers the buffers of answers whose callers read slowly
+	 * @param incomingBodies the bodies that callers are sending
 	 * @param retryLimit the retries that a service bears
 	 */
 	public RelayService(Node node, ActiveRouting routing, PublishedEntries entries, HttpExchanger exchanger,
-			EndpointProtocol protocol, EventLoop loop, MemoryBudget memory, RetryLimit retryLimit) {
+			EndpointProtocol protocol, EventLoop loop, MemoryBudget memory, AnswerBuffers answerBuffers,
+			IncomingBodies incomingBodies, RetryLimit retryLimit) {
 		this.node = node;
 		this.routing = routing;
 		this.entries = entries;
@@ -86,6 +93,8 @@
 		this.protocol = protocol;
 		this.loop = loop;
 		this.memory = memory;
+		this.answerBuffers = answerBuffers;
+		this.incomingBodies = incomingBodies;
 		this.retryLimit = retryLimit;
 	}
 
@@ -105,6 +114,9 @@
 				.orElseThrow(() -> new PoplarloomException(ErrorCode.NOT_FOUND,
 						"no route for '" + request.host() + request.path() + "'"));
 			Optional<RoutingTable.Team> team = team(table, route, request);
+			if (route.isStream()) {
+				reply.requireRoom();
+			}
 			requireHarmless(run);
 			this.runs.add(run);
 			run.start(table, route, team.orElse(null));
@@ -234,6 +246,14 @@
 		return this.memory;
 	}
 
+	AnswerBuffers answerBuffers() {
+		return this.answerBuffers;
+	}
+
+	IncomingBodies incomingBodies() {
+		return this.incomingBodies;
+	}
+
 	HttpExchanger exchanger() {
 		return this.exchanger;
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -72,7 +72,7 @@
 				this.store.address(), List.of(), graceMillis(), 0.2, 20, 0, false);
 		Settings settings = new Settings(InstanceId.of(name), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
 				this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1, new ColdStartRamp.Settings(4, 1, 1),
-				memoryBytes(), 2_000, OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, Settings.Load.DEFAULT);
+				memoryBytes(), 2_000, OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, load());
 		return RelayDaemon.start(platform, settings);
 	}
 
@@ -93,6 +93,14 @@
 		return 32 * 1024 * 1024;
 	}
 
+	/**
+	 * Returns how requests are admitted and placed.
+	 * @return the settings
+	 */
+	Settings.Load load() {
+		return Settings.Load.DEFAULT;
+	}
+
 	/**
 	 * Returns the grace time of a planned stop.
 	 * @return milliseconds
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -2,8 +2,12 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,6 +53,14 @@
 	 */
 	private static final long MAX_SKIPPING_SILENCE_MILLIS = 500;
 
+	/**
+	 * A larger body is written in pieces as the endpoint reads it, since a channel copies
+	 * what it has to write, and the copies of many bodies would fill the memory.
+	 */
+	private static final int MAX_UNDIVIDED_BODY_BYTES = 64 * 1024;
+
+	private static final int BODY_PIECE_BYTES = 16 * 1024;
+
 	private static final Logger logger = LoggerFactory.getLogger(HttpConnection.class);
 
 	private final HttpExchanger exchanger;
@@ -81,6 +94,11 @@
 
 	private boolean isReuseForbidden;
 
+	/** The request whose body is not written completely, or null if there is none. */
+	private CurrentExchange writing;
+
+	private long lastWrittenNanos;
+
 	private long reusableUntilNanos;
 
 	private long connectStartedNanos;
@@ -131,11 +149,83 @@
 		this.hasResponseStarted = false;
 		this.interimResponses = 0;
 		this.isKeepAlive = false;
-		this.context.writeAndFlush(next.request).addListener((result) -> {
-			if (!result.isSuccess()) {
-				fail("request could not be written", result.cause());
-			}
-		});
+		if (next.request.content().readableBytes() > MAX_UNDIVIDED_BODY_BYTES) {
+			startDivided(next);
+			return;
+		}
+		this.context.writeAndFlush(next.request).addListener((result) -> failUnlessWritten(result));
+	}
+
+	private void failUnlessWritten(Future<?> result) {
+		if (!result.isSuccess()) {
+			fail("request could not be written", result.cause());
+		}
+	}
+
+	private void startDivided(CurrentExchange next) {
+		FullHttpRequest request = next.request;
+		this.writing = next;
+		this.lastWrittenNanos = System.nanoTime();
+		this.context
+			.write(new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(),
+					request.headers()))
+			.addListener(this::failUnlessWritten);
+		writePieces();
+		if (this.writing != null && this.exchanger.bodyStallMillis() != HttpExchanger.NO_BODY_STALL_LIMIT) {
+			scheduleStallCheck(next, this.exchanger.bodyStallMillis());
+		}
+	}
+
+	private void writePieces() {
+		while (this.writing != null && this.context.channel().isWritable()
+				&& this.writing.request.content().isReadable()) {
+			CurrentExchange written = this.writing;
+			ByteBuf body = written.request.content();
+			ByteBuf piece = body.readRetainedSlice(Math.min(BODY_PIECE_BYTES, body.readableBytes()));
+			boolean isLast = !body.isReadable();
+			this.context.writeAndFlush(isLast ? new DefaultLastHttpContent(piece) : new DefaultHttpContent(piece))
+				.addListener((result) -> pieceWritten(written, isLast, result));
+		}
+	}
+
+	private void pieceWritten(CurrentExchange written, boolean isLast, Future<?> result) {
+		this.lastWrittenNanos = System.nanoTime();
+		if (isLast || !result.isSuccess()) {
+			endWriting(written);
+		}
+		failUnlessWritten(result);
+	}
+
+	private void endWriting(CurrentExchange written) {
+		if (this.writing == written && written != null) {
+			this.writing = null;
+			written.request.release();
+		}
+	}
+
+	private void scheduleStallCheck(CurrentExchange exchange, long delayMillis) {
+		this.context.executor().schedule(() -> checkStall(exchange), delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	// The endpoint lacks at least the last byte of the body, which the socket has not
+	// taken, so it cannot have run the request unless it has begun to respond.
+	private void checkStall(CurrentExchange exchange) {
+		if (this.writing != exchange || this.current != exchange) {
+			return;
+		}
+		long stalledMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.lastWrittenNanos);
+		if (stalledMillis < this.exchanger.bodyStallMillis()) {
+			scheduleStallCheck(exchange, this.exchanger.bodyStallMillis() - stalledMillis);
+			return;
+		}
+		exchange.isSent = this.hasResponseStarted;
+		fail("nothing of the body was read for " + stalledMillis + " ms", null);
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		writePieces();
+		ctx.fireChannelWritabilityChanged();
 	}
 
 	@Override
@@ -295,7 +385,8 @@
 	private void finish() {
 		CurrentExchange finished = this.current;
 		this.current = null;
-		if (this.isKeepAlive && this.context.channel().isActive() && !this.isReuseForbidden) {
+		boolean isWritten = this.writing == null;
+		if (this.isKeepAlive && this.context.channel().isActive() && !this.isReuseForbidden && isWritten) {
 			this.context.channel().config().setAutoRead(true);
 			this.reusableUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.keepAliveMillis);
 			this.exchanger.addIdle(this);
@@ -326,6 +417,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
+		endWriting(this.writing);
 		this.exchanger.removeIdle(this);
 		fail("connection was closed", null);
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -31,6 +31,9 @@
 	/** The request may be sent whenever the connection is open. */
 	public static final long NO_MAX_DELAY = Long.MAX_VALUE;
 
+	/** An endpoint may take any time to read the body of a request. */
+	public static final long NO_BODY_STALL_LIMIT = Long.MAX_VALUE;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
 	/**
@@ -56,12 +59,25 @@
 
 	private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
 
+	private final long bodyStallMillis;
+
 	private long openedConnections;
 
 	private long connectionsWithUnexpectedData;
 
 	public HttpExchanger(EventLoop loop) {
+		this(loop, NO_BODY_STALL_LIMIT);
+	}
+
+	/**
+	 * Creates a client that gives up endpoints that do not read.
+	 * @param loop the event loop
+	 * @param bodyStallMillis how long an endpoint may read nothing of a body before the
+	 * exchange fails, in milliseconds, or {@link #NO_BODY_STALL_LIMIT}
+	 */
+	public HttpExchanger(EventLoop loop, long bodyStallMillis) {
 		this.loop = loop;
+		this.bodyStallMillis = bodyStallMillis;
 		loop.scheduleWithFixedDelay(this::closeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -211,6 +227,10 @@
 		return this.openedConnections;
 	}
 
+	long bodyStallMillis() {
+		return this.bodyStallMillis;
+	}
+
 	void countUnexpectedData() {
 		this.connectionsWithUnexpectedData++;
 	}
@@ -256,8 +276,9 @@
 		}
 
 		/**
-		 * Returns whether the endpoint may have received a part of the request.
-		 * @return false if no byte of the request was written
+		 * Returns whether the endpoint may have received the request.
+		 * @return false if no byte of the request was written, or if the endpoint has
+		 * stopped reading before the end of its body
 		 */
 		public boolean isSent() {
 			return this.isSent;
