End the settle time of a home when all instances have started together

Cause: after a loss of all instances each new home waited for announcements that nobody could send; a home checked its empty queue every 50 ms and built streams for endpoints that were not due. Change: JointStart shows whether all listed instances of all zones were heard, started together and knew no other home; gossip within a zone names the sender's own shards, and a young instance replies to the first message of a home of another zone. Queues are checked every 50 ms only while a request waits. A new home polls its endpoints at once, but takes over at the check of membership as before: taking over earlier made four of four daemons homes on a busy machine.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/MembershipTable.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -182,9 +183,9 @@
 	 * @return the members in ascending order
 	 */
 	public synchronized List<Member> live(AvailabilityZone zone, long nowMillis) {
-		return allLive(nowMillis).stream()
-			.filter((member) -> member.zone().equals(zone) && !member.isDraining())
-			.toList();
+		List<Member> live = allLive(nowMillis);
+		live.removeIf((member) -> member.isDraining() || !member.zone().equals(zone));
+		return live;
 	}
 
 	/**
@@ -217,17 +218,25 @@
 		List<Member> serving = live(shard.zone(), nowMillis);
 		List<Member> live = !serving.isEmpty() ? serving
 				: allLive(nowMillis).stream().filter((member) -> member.zone().equals(shard.zone())).toList();
-		List<InstanceId> ids = largest(live).stream().map(Member::id).toList();
-		Optional<InstanceId> chosen = RendezvousHashing.choose(shard.toString(), ids);
-		return chosen.flatMap((id) -> live.stream().filter((member) -> member.id().equals(id)).findFirst());
+		Map<InstanceId, Member> candidates = new LinkedHashMap<>();
+		largest(live).forEach((member) -> candidates.put(member.id(), member));
+		return RendezvousHashing.choose(shard.toString(), candidates.keySet()).map(candidates::get);
 	}
 
 	// While a member of an older version does not name its cores, all members count as
 	// equal, as they do for that member.
 	private static List<Member> largest(List<Member> live) {
-		double smallest = live.stream().mapToDouble(Member::cpuCores).min().orElse(0);
-		double most = live.stream().mapToDouble(Member::cpuCores).max().orElse(0);
-		return (smallest > 0) ? live.stream().filter((member) -> member.cpuCores() * 2 >= most).toList() : live;
+		double smallest = Double.MAX_VALUE;
+		double most = 0;
+		for (Member member : live) {
+			smallest = Math.min(smallest, member.cpuCores());
+			most = Math.max(most, member.cpuCores());
+		}
+		if (smallest <= 0 || smallest * 2 >= most) {
+			return live;
+		}
+		double required = most;
+		return live.stream().filter((member) -> member.cpuCores() * 2 >= required).toList();
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -68,7 +68,7 @@
 
 	private FencingToken fencingToken = FencingToken.NONE;
 
-	private final long settleEndMillis;
+	private long settleEndMillis;
 
 	private final long agreementMillis;
 
@@ -304,6 +304,19 @@
 		this.allocations.allocate(holder, grant, nowMillis);
 	}
 
+	/**
+	 * Ends the settle time, since no holder can have a grant of a previous home.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on queued requests, empty if the settle time has ended before
+	 */
+	public synchronized List<HomeDecision> endSettleTime(long nowMillis) {
+		if (nowMillis >= this.settleEndMillis) {
+			return List.of();
+		}
+		this.settleEndMillis = nowMillis;
+		return dispatchQueued(nowMillis);
+	}
+
 	/**
 	 * Records that a request has produced its first token.
 	 * @param key the identity of the grant; an unknown one is ignored
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/EndpointDirectory.java
@@ -116,11 +116,22 @@
 		List<ListedInstance> members = engines(shard.zone()).stream()
 			.filter((entry) -> ShardId.of(shard.zone(), EndpointId.of(entry.id()), shardsPerZone).equals(shard))
 			.toList();
-		return Flux.fromIterable(members)
-			.filter((entry) -> isDue.test(EndpointId.of(entry.id()))
-					|| !this.reports.containsKey(EndpointId.of(entry.id())))
-			.flatMap(this::poll)
-			.then(Mono.fromSupplier(() -> lastReports(members)));
+		return Mono.defer(() -> {
+			List<ListedInstance> due = due(members, isDue);
+			return due.isEmpty() ? Mono.just(lastReports(members))
+					: Flux.fromIterable(due).flatMap(this::poll).then(Mono.fromSupplier(() -> lastReports(members)));
+		});
+	}
+
+	private List<ListedInstance> due(List<ListedInstance> members, Predicate<EndpointId> isDue) {
+		List<ListedInstance> due = new ArrayList<>();
+		for (ListedInstance entry : members) {
+			EndpointId endpoint = EndpointId.of(entry.id());
+			if (isDue.test(endpoint) || !this.reports.containsKey(endpoint)) {
+				due.add(entry);
+			}
+		}
+		return due;
 	}
 
 	private List<ListedInstance> engines(AvailabilityZone zone) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Gossiper.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import reactor.core.publisher.Flux;
@@ -54,6 +56,12 @@
 
 	private static final long SILENT_MEMBER_RETENTION_MILLIS = 120_000;
 
+	/**
+	 * Homes of other zones are answered only while this instance may have started
+	 * together with them.
+	 */
+	private static final long MAX_ANSWERING_AGE_MILLIS = 10_000;
+
 	private static final long FETCH_TIMEOUT_MILLIS = 2_000;
 
 	private final Settings settings;
@@ -74,6 +82,9 @@
 
 	private final Random random;
 
+	/** The incarnations of the homes of other zones that were answered. */
+	private final Map<InstanceId, Long> answeredHomes = new ConcurrentHashMap<>();
+
 	private final AtomicBoolean isFetching = new AtomicBoolean();
 
 	private volatile TableFollower operatorTable;
@@ -240,7 +251,11 @@
 		List<ShardStatus> shards;
 		synchronized (this) {
 			members = isSameZone ? this.membership.gossipMembers(now, this.random) : List.of(this.membership.self());
-			shards = this.membership.gossipShards(isSameZone, now, this.random);
+			shards = new ArrayList<>(this.membership.gossipShards(isSameZone, now, this.random));
+		}
+		if (isSameZone) {
+			// Shows an instance that has just started which shards have had a home.
+			shards.addAll(this.homes.statuses());
 		}
 		return new Message.Gossip(members, shards, state.configuration().offset(), state.configuration().digest(),
 				zoneCommands, this.crashes.entries(), position(this.operatorTable), position(this.endpointTable));
@@ -261,6 +276,7 @@
 					ShardId shard = new ShardId(this.settings.zone(), load.index());
 					statuses.add(new ShardStatus(shard, member.id(), member.address(), now, load.summary()));
 				}
+				this.homes.jointStart().recordShards(statuses);
 				this.membership.mergeShards(statuses, now);
 				fetchIfNewer(member, heartbeat.offset());
 				handleTablePositions(member, heartbeat.operatorTable(), heartbeat.endpointTable());
@@ -278,6 +294,8 @@
 		long now = this.clock.nowMillis();
 		Member sender = gossip.members().get(0);
 		boolean isNew = isLocalZone(sender.zone()) && !this.membership.isKnown(sender);
+		this.homes.jointStart().recordMembers(gossip.members(), this.membership.self().heartbeat());
+		this.homes.jointStart().recordShards(gossip.shards());
 		this.membership.mergeMembers(gossip.members(), now);
 		this.membership.mergeShards(gossip.shards(), now);
 		if (this.crashes.merge(gossip.crashes(), now)) {
@@ -287,13 +305,25 @@
 			this.activeConfiguration.applyZoneCommands(
 					gossip.zoneCommands().stream().map((json) -> Documents.read(json, ZoneCommand.class)).toList());
 		}
-		if (isNew) {
+		if (isNew || isUnansweredHome(sender, gossip.shards(), now)) {
 			sendGossip(new InstanceView.Instance(sender.id(), sender.zone(), sender.address()));
 		}
 		fetchIfNewer(sender, gossip.offset());
 		handleTablePositions(sender, gossip.operatorTable(), gossip.endpointTable());
 	}
 
+	// A home that has just started waits until it knows when the instances of other zones
+	// have started.
+	private boolean isUnansweredHome(Member sender, List<ShardStatus> shards, long now) {
+		boolean isYoung = now - this.membership.self().incarnation() < MAX_ANSWERING_AGE_MILLIS;
+		if (!isYoung || isLocalZone(sender.zone())
+				|| shards.stream().noneMatch((status) -> status.home().equals(sender.id()))) {
+			return false;
+		}
+		Long answered = this.answeredHomes.put(sender.id(), sender.incarnation());
+		return answered == null || answered != sender.incarnation();
+	}
+
 	// The log usually delivers the same change soon, so a peer is queried only after a
 	// delay.
 	private synchronized boolean isOverdue(long offset) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/InstanceView.java
@@ -94,6 +94,17 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the entry instances of all zones that the platform lists, including those
+	 * that have ended without notice.
+	 * @return the identifiers, empty until the list was read
+	 */
+	public Set<InstanceId> listedIds() {
+		Set<InstanceId> ids = new HashSet<>();
+		listedEntryInstances().forEach((listed) -> ids.add(InstanceId.of(listed.id())));
+		return ids;
+	}
+
 	/**
 	 * Returns the instances that may still hold grants.
 	 * @return the live instances of the local zone and all listed instances of other
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -22,6 +22,7 @@
 import org.poplarloom.core.process.EndpointReport;
 import org.poplarloom.core.process.HomeDecision;
 import org.poplarloom.core.process.HomeSummary;
+import org.poplarloom.core.process.JointStart;
 import org.poplarloom.core.process.Member;
 import org.poplarloom.core.process.MembershipTable;
 import org.poplarloom.core.process.PlacementPolicy;
@@ -80,6 +81,8 @@
 
 	private final Clock clock;
 
+	private final JointStart jointStart;
+
 	private final Supplier<PlacementPolicy> placementPolicies;
 
 	private final Map<ShardId, Home> homes = new ConcurrentHashMap<>();
@@ -104,6 +107,7 @@
 		this.directory = directory;
 		this.activeConfiguration = activeConfiguration;
 		this.clock = clock;
+		this.jointStart = new JointStart(membership.self(), settings.settleMillis());
 		activeConfiguration.addListener(this::applyConfiguration);
 	}
 
@@ -122,15 +126,11 @@
 	}
 
 	/**
-	 * Lets this instance take over shards from now on, and takes over those that are due.
-	 * Until it has looked for other instances, it would take itself for the home of every
-	 * shard.
+	 * Lets this instance take over shards from now on. Until it has looked for other
+	 * instances, it would take itself for the home of every shard.
 	 */
 	public void allowTakeOver() {
-		if (!this.mayTakeOver) {
-			this.mayTakeOver = true;
-			followMembership();
-		}
+		this.mayTakeOver = true;
 	}
 
 	/**
@@ -142,6 +142,7 @@
 		for (int index = 0; index < this.settings.shardsPerZone(); index++) {
 			updateShard(new ShardId(this.settings.zone(), index), now);
 		}
+		endSettleTimes(now);
 		if (!this.homes.isEmpty()) {
 			releaseEndedHolders(now);
 		}
@@ -192,20 +193,49 @@
 		Home existing = this.homes.get(shard);
 		if (isHome && existing == null && this.mayTakeOver) {
 			logger.info("taking over shard {}", shard);
-			ShardHome home = ShardHome.of(this.placementPolicies.get(), this.settings.ramp(),
-					now + this.settings.settleMillis(), this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS);
+			long settleEndMillis = now + this.settings.settleMillis();
+			ShardHome home = ShardHome.of(this.placementPolicies.get(), this.settings.ramp(), settleEndMillis,
+					this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS);
 			home.setOut(this.activeConfiguration.state().isZoneOut(shard.zone()), now);
-			this.homes.put(shard, new Home(home));
+			this.homes.put(shard, new Home(home, settleEndMillis));
 			// A home grants nothing before the first reports of its endpoints.
 			poll().subscribe();
 		}
 		else if (!isHome && existing != null) {
 			logger.info("giving up shard {} to {}", shard, chosen.map(Member::id).orElse(null));
 			this.homes.remove(shard);
+			this.jointStart.recordStepDown(shard);
 			sendDecisions(existing.shardHome().stepDown());
 		}
 	}
 
+	private void endSettleTimes(long now) {
+		this.homes.forEach((shard, home) -> {
+			if (home.isSettling(now) && this.jointStart.isFirstHome(shard, this.instances.listedIds())) {
+				logger.info("event=settled_early shard={} remaining_ms={}", shard, home.settleEndMillis() - now);
+				home.endSettleTime(now);
+				sendDecisions(home.shardHome().endSettleTime(now));
+			}
+		});
+	}
+
+	/**
+	 * Returns whether a local home still waits for holders to announce their grants.
+	 * @return true during the settle time of a home
+	 */
+	boolean isSettling() {
+		long now = this.clock.nowMillis();
+		return this.homes.values().stream().anyMatch((home) -> home.isSettling(now));
+	}
+
+	/**
+	 * Returns what shows whether all instances have started together.
+	 * @return the state, which takes what was heard of other instances
+	 */
+	JointStart jointStart() {
+		return this.jointStart;
+	}
+
 	private void releaseEndedHolders(long now) {
 		this.instances.possibleHolders().forEach((instance) -> this.lastSeenMillis.put(instance, now));
 		for (Map.Entry<InstanceId, Long> entry : this.lastSeenMillis.entrySet()) {
@@ -408,6 +438,25 @@
 		return this.homes.isEmpty();
 	}
 
+	/**
+	 * Returns whether a request waits for a decision.
+	 * @return true if a reply is pending
+	 */
+	public boolean hasPendingReplies() {
+		return !this.pendingReplies.isEmpty();
+	}
+
+	/**
+	 * Returns whether a request waits in the queue of a local shard, also one whose
+	 * holder was told so and has not sent it again yet.
+	 * @return true if a queue is not empty
+	 */
+	public boolean hasQueuedRequests() {
+		long now = this.clock.nowMillis();
+		return hasPendingReplies()
+				|| this.homes.values().stream().anyMatch((home) -> home.shardHome().summary(now).queued() > 0);
+	}
+
 	/**
 	 * Returns the homes of the local shards.
 	 * @return a copy, by shard
@@ -433,8 +482,23 @@
 
 		private volatile boolean reported;
 
-		Home(ShardHome shardHome) {
+		private volatile long settleEndMillis;
+
+		Home(ShardHome shardHome, long settleEndMillis) {
 			this.shardHome = shardHome;
+			this.settleEndMillis = settleEndMillis;
+		}
+
+		boolean isSettling(long nowMillis) {
+			return nowMillis < this.settleEndMillis;
+		}
+
+		long settleEndMillis() {
+			return this.settleEndMillis;
+		}
+
+		void endSettleTime(long nowMillis) {
+			this.settleEndMillis = nowMillis;
 		}
 
 		ShardHome shardHome() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -91,6 +91,8 @@
 
 	private volatile boolean closed;
 
+	private volatile ScheduledFuture<?> homeTick;
+
 	private MembershipTable membership;
 
 	private InstanceView instances;
@@ -163,12 +165,22 @@
 		this.grantClient.handleHomeChanges();
 	}
 
-	// Only homes have queues, which need the short period.
+	// Only queues need the short period.
 	private void tickHomes() {
 		if (!this.closed) {
 			runAndLogFailure(this.localHomes::tick);
-			long delayMillis = this.localHomes.isEmpty() ? MEMBERSHIP_PERIOD_MILLIS : HOME_TICK_PERIOD_MILLIS;
-			this.runtime.tasks().schedule(this::tickHomes, delayMillis, TimeUnit.MILLISECONDS);
+			long delayMillis = this.localHomes.hasQueuedRequests() ? HOME_TICK_PERIOD_MILLIS : MEMBERSHIP_PERIOD_MILLIS;
+			this.homeTick = this.runtime.tasks().schedule(this::tickHomes, delayMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	// A request that was queued during a long period has its first tick after a short
+	// one.
+	private void tickHomesSoon() {
+		ScheduledFuture<?> next = this.homeTick;
+		if (next != null && next.getDelay(TimeUnit.MILLISECONDS) > HOME_TICK_PERIOD_MILLIS && next.cancel(false)) {
+			this.homeTick = this.runtime.tasks()
+				.schedule(this::tickHomes, HOME_TICK_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -232,6 +244,9 @@
 				span.end();
 				reply.accept(decision);
 			});
+			if (this.localHomes.hasPendingReplies()) {
+				tickHomesSoon();
+			}
 		}
 		else if (message instanceof Message.FirstToken firstToken) {
 			this.localHomes.recordFirstToken(firstToken.shard(), firstToken.key());
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -337,6 +337,10 @@
 			return !this.node.localHomes().isEmpty();
 		}
 
+		boolean isSettling() {
+			return this.node.localHomes().isSettling();
+		}
+
 		CrashInvestigation investigation() {
 			return this.node.crashInvestigation();
 		}
