--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
@@ -43,7 +43,7 @@
 
 	private final ReservedRoom reservedRoom;
 
-	private final long settleEndMillis;
+	private long settleEndMillis;
 
 	private final ShortPromptLoad shortLoad = new ShortPromptLoad();
 
@@ -70,6 +70,10 @@
 		return nowMillis < this.settleEndMillis;
 	}
 
+	void endSettleTime(long nowMillis) {
+		this.settleEndMillis = nowMillis;
+	}
+
 	/**
 	 * Grants a request if the placement policy finds endpoints for it now.
 	 * @param holder the instance that would hold the grant
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -243,6 +243,19 @@
 		this.allocations.allocate(holder, grant, nowMillis);
 	}
 
+	/**
+	 * Ends the settle time, since no holder can have a grant of a previous home.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return decisions on queued requests, empty if the settle time has ended before
+	 */
+	public synchronized List<HomeDecision> endSettleTime(long nowMillis) {
+		if (!this.dispatcher.isSettling(nowMillis)) {
+			return List.of();
+		}
+		this.dispatcher.endSettleTime(nowMillis);
+		return dispatchQueued(nowMillis);
+	}
+
 	/**
 	 * Records that a request has produced its first token.
 	 * @param key the identity of the grant; an unknown one is ignored
