Promise a place also to requests that fail fast

A request is sent to all homes as one that fails fast first, and refusals with deadline_unreachable are then final, so no home would have promised anything. The promise is recorded for these too and counts as a third of an expected caller.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/AdmissionRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/AdmissionRules.java
@@ -59,12 +59,12 @@
 	 * time.
 	 * @param request the request
 	 * @param minMillis the least time after which it could be served, in milliseconds
-	 * @param mayReturn whether the caller is told when to return; false if another home
-	 * may serve the request
+	 * @param mayQueue whether the request might have waited here; if not, homes of other
+	 * zones are asked too
 	 * @param nowMillis the time in milliseconds
 	 * @return the time after which it could be served, in milliseconds
 	 */
-	long recordRefusal(GrantRequest request, long minMillis, boolean mayReturn, long nowMillis);
+	long recordRefusal(GrantRequest request, long minMillis, boolean mayQueue, long nowMillis);
 
 	/**
 	 * Records that a request, queued or not, is granted.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/DeadlineRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/DeadlineRules.java
@@ -51,7 +51,7 @@
 	}
 
 	@Override
-	public long recordRefusal(GrantRequest request, long minMillis, boolean mayReturn, long nowMillis) {
+	public long recordRefusal(GrantRequest request, long minMillis, boolean mayQueue, long nowMillis) {
 		return minMillis;
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
@@ -25,6 +25,12 @@
 	/** Refused callers return spread over this time, in milliseconds. */
 	private static final long RETURN_SPREAD_MILLIS = 500;
 
+	/**
+	 * A request that fails fast is refused by the homes of all zones, usually three, and
+	 * its caller returns to one of them.
+	 */
+	private static final int HOMES_PER_CALLER = 3;
+
 	/** A grant without a release is forgotten this long after its deadline. */
 	private static final long MAX_GRANT_OVERRUN_MILLIS = 5_000;
 
@@ -102,14 +108,11 @@
 	// Callers that were told earlier when to return come first, so that the later ones
 	// are told a later time.
 	@Override
-	public long recordRefusal(GrantRequest request, long minMillis, boolean mayReturn, long nowMillis) {
+	public long recordRefusal(GrantRequest request, long minMillis, boolean mayQueue, long nowMillis) {
 		Promises.Promise promise = (this.queue.find(request.key()) != null) ? null
 				: this.promises.find(request.fingerprint(), nowMillis);
 		long rank = (promise != null) ? promise.rankMillis() : NO_PROMISED_RANK;
 		SharesOrder.Estimate estimate = this.queue.estimate(request, rank, nowMillis);
-		if (!mayReturn) {
-			return Math.max(minMillis, (long) estimate.returnMillis());
-		}
 		total(request.team()).refused++;
 		this.queue.remove(request.key());
 		this.promises.use(promise);
@@ -120,8 +123,9 @@
 		if (promise != null && promise.timeMillis() > nowMillis) {
 			retryAfter = Math.max(minMillis, Math.min(retryAfter, promise.timeMillis() - nowMillis));
 		}
+		double expectedMillis = estimate.waiting().engineMillis() / (mayQueue ? 1 : HOMES_PER_CALLER);
 		this.promises.record(request.fingerprint(), request.team(), lane, estimate.waiting().rankMillis(),
-				estimate.waiting().engineMillis(), nowMillis + retryAfter);
+				expectedMillis, nowMillis + retryAfter);
 		return retryAfter;
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -211,11 +211,11 @@
 	}
 
 	private HomeDecision refuse(InstanceId holder, GrantRequest request, DeadlineCheck.Refusal refusal,
-			boolean mayReturn, long nowMillis) {
+			boolean mayQueue, long nowMillis) {
 		long coldWait = this.deadlineCheck.coldWaitMillis(request, nowMillis);
 		long retryAfter = (coldWait > 0) ? coldWait : RETRY_AFTER_MILLIS;
 		if (refusal.code() == ErrorCode.DEADLINE_UNREACHABLE || refusal.code() == ErrorCode.QUEUE_FULL) {
-			retryAfter = this.rules.recordRefusal(request, retryAfter, mayReturn, nowMillis);
+			retryAfter = this.rules.recordRefusal(request, retryAfter, mayQueue, nowMillis);
 		}
 		GrantDecision decision = new GrantDecision.Refused(request.requestId(), request.attempt(), refusal.code(),
 				retryAfter);
--- a/poplarloom-core/src/test/java/org/poplarloom/core/admission/SharesRulesTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/admission/SharesRulesTests.java
@@ -156,6 +156,20 @@
 				"the promise counts once, also for a second request with the same content");
 	}
 
+	/**
+	 * Guards against a promise that only a home makes that may queue the request: a
+	 * request is first sent to all homes as one that fails fast, and their refusals are
+	 * final.
+	 */
+	@Test
+	public void callerWhoseRequestFailedFastKeepsItsPlaceToo() {
+		SharesRules fair = rules();
+		fair.recordRefusal(request("r", "a", 7, 5, 0, 4_000), 3_000, false, 0);
+		enqueue(fair, "q0", "a", 5, 100);
+		fair.enqueue(HOLDER, request("again", "a", 7, 5, 3_000, 4_000), 3_000);
+		Assert.assertEquals(order(fair, 3_001), List.of("again", "q0"));
+	}
+
 	@Test
 	public void callerThatReturnsAtOnceIsToldTheSameTimeAgain() {
 		SharesRules fair = rules();
