Let requests wait for the first configuration after a start

Cause: after a loss of power of all instances callers return while instances already accept connections but have not read a configuration.

Change: in the first 2 s of a process, a request waits up to 1 s for the first configuration; then it is refused as before. A caller that leaves and a planned stop end the wait.

Measured: RelayEarlyRequestTests 5 of 5; RelayDaemonTests and RelayPlannedStopTests pass.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -143,7 +143,10 @@
 		}
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
-		this.routing.whenActivated(() -> this.loop.execute(this.callerServer::applyLimits));
+		this.routing.whenActivated(() -> this.loop.execute(() -> {
+			this.callerServer.applyLimits();
+			this.relay.startEarlyRequests();
+		}));
 	}
 
 	private Map<String, Long> sentToPeers() {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -313,6 +313,10 @@
 		}
 	}
 
+	boolean isEnded() {
+		return this.ended;
+	}
+
 	/**
 	 * Refuses the request if no endpoint can have received it, whatever it waits for;
 	 * does nothing otherwise or after the end.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -68,6 +68,8 @@
 
 	private final Set<RelayRun> runs = new HashSet<>();
 
+	private final EarlyRequests earlyRequests;
+
 	private boolean admitting = true;
 
 	/**
@@ -96,16 +98,41 @@
 		this.answerBuffers = answerBuffers;
 		this.incomingBodies = incomingBodies;
 		this.retryLimit = retryLimit;
+		this.earlyRequests = new EarlyRequests(loop, System.nanoTime());
 	}
 
 	/**
-	 * Starts to relay a request, or refuses it.
+	 * Starts to relay a request, or refuses it. Before the first configuration is known,
+	 * it may have to wait for that.
 	 * @param request the request
 	 * @param reply sends the response to the caller
 	 * @return the run, or null if the request was refused
 	 */
 	RelayRun start(RelayRequest request, CallerReply reply) {
 		RelayRun run = new RelayRun(this, request, reply);
+		if (this.routing.table().isEmpty() && this.admitting && this.earlyRequests.mayWait()) {
+			this.runs.add(run);
+			this.earlyRequests.add(() -> startWaiting(run, request, reply));
+			return run;
+		}
+		return start(run, request, reply) ? run : null;
+	}
+
+	// The caller may have left, or the instance may have begun to stop.
+	private void startWaiting(RelayRun run, RelayRequest request, CallerReply reply) {
+		if (!run.isEnded()) {
+			start(run, request, reply);
+		}
+	}
+
+	/**
+	 * Starts the requests that have waited for the first configuration.
+	 */
+	public void startEarlyRequests() {
+		this.earlyRequests.resumeAll();
+	}
+
+	private boolean start(RelayRun run, RelayRequest request, CallerReply reply) {
 		try {
 			requireAdmitting();
 			RoutingTable table = this.routing.table()
@@ -120,11 +147,11 @@
 			requireHarmless(run);
 			this.runs.add(run);
 			run.start(table, route, team.orElse(null));
-			return run;
+			return true;
 		}
 		catch (PoplarloomException ex) {
 			run.refuse(ex);
-			return null;
+			return false;
 		}
 	}
 
