--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
@@ -1,7 +1,6 @@
 package org.poplarloom.core.admission;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -301,14 +300,6 @@
 		return this.waitingByTeam;
 	}
 
-	double virtualMillis(GrantRequest request) {
-		return service(request).shares.virtualMillis(request.team());
-	}
-
-	Collection<Waiting> waiting() {
-		return this.byKey.values();
-	}
-
 	@Override
 	public List<QueuedRequest> all() {
 		return this.byKey.values().stream().map(Waiting::queued).toList();
