Keep lapsed endpoints after outages that only readers notice

Cause: an instance that does not read the store notices no outage, so it removed endpoints at once whose entries had lapsed in the outage, when it fetched the removals from a reader.

Change: with readers, a gap of more than 1.7 s without a confirmation, or reads that still fail when a peer sends the removal, count as an outage, so removals wait for 2.2 s as at an instance that has noticed it.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableFollower.java
@@ -38,6 +38,12 @@
 	/** A copy is read again for a peer if its last read is at least this old. */
 	private static final long MIN_REFRESH_AGE_MILLIS = 400;
 
+	/**
+	 * An instance that fetches from peers takes a longer time without a confirmation for
+	 * an outage. Readers confirm copies after at most 1.5 s otherwise.
+	 */
+	private static final long MAX_CONFIRMATION_GAP_MILLIS = 1_700;
+
 	private final String table;
 
 	private final KeyedTablePort port;
@@ -63,6 +69,15 @@
 
 	private volatile long recoveredMillis;
 
+	/** Whether this instance notices an outage only by the age of its copy. */
+	private volatile boolean reliesOnPeers;
+
+	/** Whether readers of its zone read for this instance, or it reads for others. */
+	private volatile boolean isShared;
+
+	/** Whether {@link #reliesOnPeers} stays true after the next read. */
+	private boolean isConfirmedByPeers;
+
 	private long readStartMillis;
 
 	private long readWaitMillis;
@@ -191,6 +206,7 @@
 		recordSuccess();
 		this.readMillis = this.clock.nowMillis();
 		confirm(this.readMillis);
+		this.reliesOnPeers = this.isConfirmedByPeers;
 		if (from.equals(TablePosition.NONE)) {
 			applySnapshot(page);
 		}
@@ -228,10 +244,14 @@
 	 * Follows a timing that has changed at once: a read that waits for longer than the
 	 * new timing says is replaced by one that does not wait, since others rely on the age
 	 * of the copy. Called on the scheduler's thread.
+	 * @param confirmedByPeers whether peers confirm the copy more often than own reads
 	 */
-	void followTiming() {
+	void followTiming(boolean confirmedByPeers) {
 		ReadTiming now = this.timing.get();
 		this.confirmationDue = true;
+		this.isShared = true;
+		this.isConfirmedByPeers = confirmedByPeers;
+		this.reliesOnPeers |= confirmedByPeers;
 		if (this.readInProgress) {
 			if (!now.isNone() && this.readWaitMillis > now.waitMillis()) {
 				readNext();
@@ -421,6 +441,9 @@
 	 * @param millis the time in milliseconds since the epoch
 	 */
 	void confirm(long millis) {
+		if (this.reliesOnPeers && millis - this.confirmedMillis > MAX_CONFIRMATION_GAP_MILLIS) {
+			this.recoveredMillis = this.clock.nowMillis();
+		}
 		this.confirmedMillis = Math.max(this.confirmedMillis, millis);
 	}
 
@@ -452,10 +475,13 @@
 
 	/**
 	 * Returns when the platform could last be read again after an outage.
-	 * @return the time in milliseconds since the epoch, 0 if there was no outage
+	 * @return the time in milliseconds since the epoch, the current time during an outage
+	 * in which readers share what they read, 0 if there was no outage
 	 */
 	public long recoveredMillis() {
-		return this.recoveredMillis;
+		boolean isOutage = (this.isShared && this.unavailable)
+				|| (this.reliesOnPeers && ageMillis() > MAX_CONFIRMATION_GAP_MILLIS);
+		return isOutage ? this.clock.nowMillis() : this.recoveredMillis;
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableReading.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/TableReading.java
@@ -109,7 +109,8 @@
 			logger.info("event={} role={} before={} reason={} rank={} age_ms={}",
 					(decision.role() == Role.LEARNER) ? "reads_stopped" : "reads_tables", name(decision.role()),
 					name(before), decision.reason(), decision.rank(), ageMillis());
-			followers().forEach(TableFollower::followTiming);
+			boolean confirmedByPeers = decision.role() == Role.LEARNER || decision.role() == Role.STANDBY;
+			followers().forEach((follower) -> follower.followTiming(confirmedByPeers));
 			this.confirmationDue = decision.role() == Role.READER;
 		}
 		if (canRead != this.couldRead) {
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReaderFailureTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/TableReaderFailureTests.java
@@ -53,6 +53,9 @@
 	/** The bound of the last rank, one decision and one read. */
 	private static final long MAX_AGE_MILLIS = 2_900;
 
+	/** Live endpoints have written their entries again this long after an outage. */
+	private static final long REPUBLICATION_MILLIS = 1_500;
+
 	private static final long CHECK_PERIOD_MILLIS = 5;
 
 	private SimulatedFleet fleet;
@@ -204,6 +207,42 @@
 		Assert.assertTrue(this.maxAgeMillis <= MAX_AGE_MILLIS, found);
 	}
 
+	@DataProvider
+	public static Object[] seeds() {
+		return IntStream.rangeClosed(1, Integer.getInteger("readers.seeds", DEFAULT_SEEDS))
+			.mapToObj((seed) -> (long) seed)
+			.toArray();
+	}
+
+	/**
+	 * Guards against endpoints that instances which do not read drop after an outage,
+	 * because they have noticed none and their entries lapsed in it.
+	 */
+	@Test(dataProvider = "seeds")
+	public void entriesThatLapseWhileTheStoreIsSilentStayInUse(long seed) {
+		startFleet(seed);
+		this.fleet.setStoreSilent(true);
+		this.fleet.advance(3_000 + this.random.nextInt(4_000));
+		for (int i = 0; i < ENDPOINTS; i++) {
+			this.fleet.put(Tables.WORKERS, "i-" + i, "");
+		}
+		this.fleet.setStoreSilent(false);
+		checkAllServe(REPUBLICATION_MILLIS);
+		IntStream.range(0, ENDPOINTS).forEach((i) -> putEntry(i, "ready"));
+		checkAllServe(DURATION_MILLIS / 2);
+	}
+
+	private void checkAllServe(long millis) {
+		this.fleet.advance(millis, (elapsed) -> {
+			for (SimulatedFleet.Instance instance : this.fleet.instances()) {
+				for (int i = 0; i < ENDPOINTS; i++) {
+					Assert.assertTrue(instance.entries().mayServe(EndpointId.of("i-" + i)),
+							"i-" + i + " at " + instance.zone() + " in " + elapsed + " ms");
+				}
+			}
+		});
+	}
+
 	private void startFleet(long seed) {
 		this.fleet = new SimulatedFleet(seed, READERS);
 		this.random = new Random(seed);
