--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -48,7 +48,7 @@
 	private static final double MAX_SHORT_BACKLOG_MILLIS = 110;
 
 	/** Fraction of its slots up to which an endpoint is packed with short prompts. */
-	static final double PACKED_SLOT_FRACTION = 0.75;
+	private static final double PACKED_SLOT_FRACTION = 0.75;
 
 	@Override
 	public List<Share> place(GrantRequest request, List<EndpointAllocations> endpoints, ShortPromptLoad load,
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
@@ -1,6 +1,5 @@
 package org.poplarloom.core.process;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -14,14 +13,14 @@
  * Places short prompts and calls of plain services evenly, and long prompts as
  * {@link CostPlacement} does.
  * <p>
- * A short prompt goes to the endpoint with the earlier expected first event of two that
- * are sampled among those that are open to short prompts and keep the pause limit. All
- * endpoints are open if there was no long prompt in the last 10 s; otherwise those with
- * the most running requests, as many as take the short prompts if each is filled as
- * {@link CostPlacement} fills it, so that as many endpoints stay free for long prompts.
- * Calls of plain services go to the endpoint with the fewest running requests. Equal
- * endpoints are chosen at random. While it is not active, all decisions are those of
- * {@link CostPlacement}. An object serves one home, whose lock guards its state.
+ * If there was no long prompt in the last 10 s, a short prompt goes to the endpoint with
+ * the earlier expected first event of two that are sampled among those that keep the
+ * pause limit. Otherwise it goes to any of those with the most running requests that
+ * start it in time, so that as many endpoints stay free for long prompts as with
+ * {@link CostPlacement}, but not always the same ones. Calls of plain services go to the
+ * endpoint with the fewest running requests. Equal endpoints are chosen at random. While
+ * it is not active, all decisions are those of {@link CostPlacement}. An object serves
+ * one home, whose lock guards its state.
  */
 public final class EvenPlacement implements PlacementPolicy {
 
@@ -104,9 +103,9 @@
 						.thenComparing(CostPlacement.mostRateLeft(nowMillis))));
 		}
 		List<EndpointAllocations> suitable = CostPlacement.suitableForShort(request, candidates);
-		List<EndpointAllocations> withRoom = CostPlacement.withRoom(openToShort(suitable, nowMillis), nowMillis);
+		List<EndpointAllocations> withRoom = CostPlacement.withRoom(suitable, nowMillis);
 		if (!withRoom.isEmpty()) {
-			return CostPlacement.onOneEndpoint(request, betterOfTwo(withRoom, nowMillis));
+			return CostPlacement.onOneEndpoint(request, amongWithRoom(withRoom, nowMillis));
 		}
 		if (suitable.isEmpty()) {
 			return List.of();
@@ -116,33 +115,18 @@
 				: List.of();
 	}
 
-	// Endpoints that already generate answers come first, so that the others stay idle.
-	private List<EndpointAllocations> openToShort(List<EndpointAllocations> suitable, long nowMillis) {
-		if (suitable.isEmpty() || nowMillis - this.lastLongMillis > LONG_MEMORY_MILLIS) {
-			return suitable;
-		}
-		List<EndpointAllocations> ordered = new ArrayList<>(suitable);
-		Collections.shuffle(ordered, this.random);
-		ordered.sort(Comparator.comparingInt(EndpointAllocations::running).reversed());
-		int open = 0;
-		double room = 0;
-		while (open < ordered.size() && room < 1) {
-			EndpointAllocations next = ordered.get(open);
-			room += CostPlacement.PACKED_SLOT_FRACTION * next.report().slots() - next.running();
-			open++;
-		}
-		return ordered.subList(0, open);
-	}
-
 	// Cold endpoints tolerate a low rate only, so the next request goes to the one with
 	// most of its rate left.
-	private EndpointAllocations betterOfTwo(List<EndpointAllocations> withRoom, long nowMillis) {
+	private EndpointAllocations amongWithRoom(List<EndpointAllocations> withRoom, long nowMillis) {
 		List<EndpointAllocations> warm = withRoom.stream()
 			.filter((endpoint) -> !endpoint.coldLimit().isCold(nowMillis))
 			.toList();
 		if (warm.isEmpty()) {
 			return anyBest(withRoom, CostPlacement.mostRateLeft(nowMillis));
 		}
+		if (nowMillis - this.lastLongMillis <= LONG_MEMORY_MILLIS) {
+			return anyBest(warm, Comparator.comparingInt(EndpointAllocations::running).reversed());
+		}
 		EndpointAllocations first = warm.get(this.random.nextInt(warm.size()));
 		EndpointAllocations second = warm.get(this.random.nextInt(warm.size()));
 		return (CostPlacement.leastDelay(nowMillis).compare(second, first) < 0) ? second : first;
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/PlacementPolicy.java
@@ -8,8 +8,8 @@
 /**
  * Chooses the endpoints of a shard on which a request runs.
  * <p>
- * Implementations have no mutable state and are thread-safe; the home's lock guards their
- * arguments.
+ * The home's lock guards the arguments. Implementations without mutable state are
+ * thread-safe; an object with mutable state serves one home, whose lock guards it.
  */
 public interface PlacementPolicy {
 
