Learn endpoints' speeds from their first tokens; count all that endpoints hold

Cause: an engine that became slow kept its load, since expected times came from the engine model alone.

Estimates for a whole service stay with the engine model. Parts count until the first token, a restart releases of a parallel prefill only what was on that endpoint, reports requested earlier than the present one are ignored. Where the grants of one prompt are prefilled one after another, a restart releases the whole grant as before (ShardHomeTests holds that).

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/DeadlineCheck.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/DeadlineCheck.java
@@ -67,9 +67,9 @@
 				? (double) this.queue.longTokens() / eligible.size() : 0;
 		EndpointAllocations first = eligible.get(0);
 		double prefillMillis = this.policy.isPrefillParallel()
-				? first.prefillMillis(request.promptTokens()) / eligible.size()
-						+ first.prefillMillis((long) queuedTokensPerEndpoint)
-				: first.prefillMillis(request.promptTokens() + (long) queuedTokensPerEndpoint);
+				? first.modelPrefillMillis(request.promptTokens()) / eligible.size()
+						+ first.modelPrefillMillis((long) queuedTokensPerEndpoint)
+				: first.modelPrefillMillis(request.promptTokens() + (long) queuedTokensPerEndpoint);
 		return nowMillis + coldWaitMillis(request, nowMillis) + prefillMillis <= request.latencyTarget()
 			.firstTokenDeadlineMillis();
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointAllocations.java
@@ -10,14 +10,15 @@
 import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.GrantRequest;
 import org.poplarloom.core.request.LatencyTarget;
+import org.poplarloom.core.request.LengthClass;
 
 /**
  * What a home has granted on one endpoint, with the load that follows from it.
  * <p>
- * Reserved memory is the sum of the allocated shares, and a request is admitted only
- * while the endpoint runs fewer than its slow-start ramp allows and, if it is cold, while
- * the rate that it tolerates is not used up. This class is not thread-safe; its home's
- * lock guards it.
+ * Reserved memory is the sum of the allocated shares and of the parts of prompts that the
+ * endpoint prefills for others, and a request is admitted only while the endpoint runs
+ * fewer than its slow-start ramp allows and, if it is cold, while the rate that it
+ * tolerates is not used up. This class is not thread-safe; its home's lock guards it.
  */
 public final class EndpointAllocations {
 
@@ -43,6 +44,8 @@
 
 	private final OrphanedHandles orphans = new OrphanedHandles();
 
+	private final EndpointSpeed speed = new EndpointSpeed();
+
 	private final PollSchedule polls = new PollSchedule();
 
 	private final Map<Long, Boolean> recentPrefixes = new LinkedHashMap<>(16, 0.75f, true);
@@ -156,17 +159,36 @@
 	}
 
 	/**
-	 * Estimates how long the endpoint needs to prefill a prompt without other load.
+	 * Estimates how long the endpoint needs to prefill a prompt without other load, by
+	 * its engine model and the speed that its answers have shown.
 	 * @param promptTokens the length in tokens
 	 * @return milliseconds from 0
 	 */
 	public double prefillMillis(long promptTokens) {
+		return modelPrefillMillis(promptTokens) * this.speed.factor(LengthClass.of(promptTokens).isLong());
+	}
+
+	/**
+	 * Estimates how long any endpoint with this one's engine model needs to prefill a
+	 * prompt without other load.
+	 * @param promptTokens the length in tokens
+	 * @return milliseconds from 0
+	 */
+	double modelPrefillMillis(long promptTokens) {
 		if (this.report.engine() != null) {
 			return this.report.engine().prefillMillis(promptTokens);
 		}
 		return promptTokens / this.report.prefillTokensPerSecond() * MILLIS_PER_SECOND;
 	}
 
+	/**
+	 * Returns what the endpoint's answers tell about its speed.
+	 * @return the speed, never null
+	 */
+	EndpointSpeed speed() {
+		return this.speed;
+	}
+
 	/**
 	 * Estimates when the endpoint will have prefilled all prompts granted on it.
 	 * @param nowMillis the time in milliseconds
@@ -271,17 +293,23 @@
 		boolean isPrefillingLong = isPrefilling && grant.request().lengthClass().isLong();
 		boolean isPart = grant.request().parallelPrefill() != null;
 		boolean isHelper = grant.isParallel() && kvTokens == 0 && (isPart || !grant.answeringEndpoint().equals(id()));
-		Allocation allocation = new Allocation(grant.request(), kvTokens, nowMillis, isPrefillingLong, isHelper);
+		// A helper keeps its part until it is sent to the answering endpoint.
+		long heldTokens = isHelper ? grant.request().promptTokens() / grant.shares().size() + 1 : kvTokens;
+		Allocation allocation = new Allocation(grant.request(), heldTokens, nowMillis, isPrefillingLong, isHelper);
 		if (isPrefilling && !this.allocations.containsKey(grant.key())) {
+			long promptTokens = grant.request().promptTokens();
+			int parts = grant.isParallel() ? grant.shares().size() : 1;
 			double partMillis = isPart ? grant.request().parallelPrefill().partMillis()
-					: prefillMillis(grant.request().promptTokens()) / (grant.isParallel() ? grant.shares().size() : 1);
+					: prefillMillis(promptTokens) / parts;
 			this.prefillBacklog.add(grant.key(), partMillis, nowMillis);
+			this.speed.start(grant.key(), isPart ? partMillis : modelPrefillMillis(promptTokens) / parts,
+					grant.request().lengthClass().isLong(), !isPart && grant.shares().size() == 1, nowMillis);
 		}
 		Allocation previous = this.allocations.put(grant.key(), allocation);
 		if (previous != null) {
 			subtract(previous);
 		}
-		this.reservedKvTokens += kvTokens;
+		this.reservedKvTokens += heldTokens;
 		this.longPrefills += allocation.isPrefillingLong() ? 1 : 0;
 		this.hasIsolatedRequest |= grant.request().isIsolated();
 		if (grant.request().prefixHash() != 0) {
@@ -302,6 +330,7 @@
 			return;
 		}
 		this.prefillBacklog.finish(key, nowMillis);
+		this.speed.finish(key, passMillis(), nowMillis);
 		if (allocation.isHelper()) {
 			release(key);
 		}
@@ -323,7 +352,7 @@
 	}
 
 	private void observeFirstToken(Allocation allocation, long nowMillis) {
-		double expectedMillis = prefillMillis(allocation.request().promptTokens());
+		double expectedMillis = modelPrefillMillis(allocation.request().promptTokens());
 		double actualMillis = nowMillis - allocation.grantedMillis();
 		boolean isSlow = !hasLongPrefill()
 				&& actualMillis > SLOW_FIRST_TOKEN_RATIO * expectedMillis + SLOW_FIRST_TOKEN_MARGIN_MILLIS;
@@ -334,12 +363,22 @@
 		}
 	}
 
+	/**
+	 * Returns whether a grant is allocated.
+	 * @param key the identity of the grant
+	 * @return false if it was released or lost
+	 */
+	boolean holds(String key) {
+		return this.allocations.containsKey(key);
+	}
+
 	boolean release(String key) {
 		Allocation allocation = this.allocations.remove(key);
 		if (allocation == null) {
 			return false;
 		}
 		this.prefillBacklog.remove(key);
+		this.speed.remove(key);
 		subtract(allocation);
 		return true;
 	}
@@ -353,13 +392,17 @@
 	}
 
 	/**
-	 * Replaces the endpoint's report.
-	 * @param next the newer report
+	 * Replaces the endpoint's report, unless the other one was requested earlier: it may
+	 * come from an earlier process, whose end says nothing about the present grants.
+	 * @param next the other report
 	 * @param nowMillis the time in milliseconds
 	 * @return the keys of the grants lost in a restart of the endpoint, empty if it has
 	 * not restarted
 	 */
 	List<String> observe(EndpointReport next, long nowMillis) {
+		if (next.requestedMillis() < this.report.requestedMillis()) {
+			return List.of();
+		}
 		boolean hasRestarted = !next.bootId().equals(this.report.bootId());
 		this.report = next;
 		this.coldLimit.setPeriod(next.coldPeriod(), nowMillis);
@@ -387,6 +430,7 @@
 		List<String> lost = new ArrayList<>(this.allocations.keySet());
 		lost.forEach(this::release);
 		this.recentPrefixes.clear();
+		this.speed.reset();
 		this.ramp.restart(nowMillis);
 		return lost;
 	}
@@ -423,7 +467,8 @@
 		return id() + ":" + running() + "/" + this.ramp.limit(this.report.slots(), nowMillis) + ",free="
 				+ freeKvTokens() + ",backlog=" + (long) backlogMillis(nowMillis)
 				+ (isUnreachable(nowMillis) ? ",doubted" : "") + (this.coldLimit.isCold(nowMillis) ? ",cold" : "")
-				+ (hasLongPrefill() ? ",long" : "") + ((this.isOut || this.report.isDraining()) ? ",leaving" : "");
+				+ (hasLongPrefill() ? ",long" : "") + this.speed.describe(nowMillis)
+				+ ((this.isOut || this.report.isDraining()) ? ",leaving" : "");
 	}
 
 	private boolean isUnreachable(long nowMillis) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointCapacity.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EndpointCapacity.java
@@ -59,7 +59,7 @@
 		}
 		int slots = Math.max(1, endpoint.report().slots());
 		double millis = (request.promptTokens() == 0) ? PLAIN_CALL_MILLIS / slots
-				: endpoint.prefillMillis(request.promptTokens()) + decodeMillis(request, endpoint, slots);
+				: endpoint.modelPrefillMillis(request.promptTokens()) + decodeMillis(request, endpoint, slots);
 		return Math.max(MIN_ENGINE_MILLIS, millis);
 	}
 
@@ -81,7 +81,7 @@
 		}
 		int parts = (request.lengthClass().isLong() && this.policy.isPrefillParallel())
 				? Math.max(1, Math.min(ParallelPrefill.MAX_PARTS, endpoints(request))) : 1;
-		return endpoint.prefillMillis(request.promptTokens()) / parts;
+		return endpoint.modelPrefillMillis(request.promptTokens()) / parts;
 	}
 
 }
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
@@ -125,7 +125,7 @@
 	}
 
 	private boolean isUrgent(GrantRequest request, long nowMillis) {
-		double prefillMillis = this.allocations.endpoints().get(0).prefillMillis(request.promptTokens());
+		double prefillMillis = this.allocations.endpoints().get(0).modelPrefillMillis(request.promptTokens());
 		return nowMillis + prefillMillis * URGENT_SLACK_RATIO > request.deadlineMillis();
 	}
 
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardAllocations.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardAllocations.java
@@ -34,6 +34,8 @@
 
 	private long sharedUntilMillis;
 
+	private boolean learnsSpeeds;
+
 	ShardAllocations(ColdStartRamp.Settings rampSettings) {
 		this.rampSettings = rampSettings;
 	}
@@ -69,7 +71,20 @@
 		return (found != null) ? found.grant() : null;
 	}
 
+	/**
+	 * Starts or stops to learn the endpoints' speeds from their answers.
+	 * @param isLearning whether to learn
+	 */
+	void learnSpeeds(boolean isLearning) {
+		this.learnsSpeeds = isLearning;
+		this.endpoints.forEach((endpoint) -> endpoint.speed().setLearning(isLearning));
+	}
+
 	void allocate(InstanceId holder, Grant grant, long nowMillis) {
+		Grant previous = grant(grant.key());
+		if (previous != null && !previous.shares().equals(grant.shares())) {
+			release(grant.key());
+		}
 		forEachEndpoint(grant, (endpoint) -> allocateOn(endpoint, grant, nowMillis));
 		this.grants.put(grant.key(), new HeldGrant(holder, grant));
 	}
@@ -123,6 +138,20 @@
 		return true;
 	}
 
+	// Endpoints that prefill in parallel hold their memory until the holder knows of the
+	// loss; if the helpers' parts have been sent, the answer even goes on.
+	private void releaseUnlessHeld(String key) {
+		HeldGrant found = this.grants.get(key);
+		boolean isHeld = found != null && found.grant().isParallel()
+				&& found.grant().shares().stream().anyMatch((share) -> {
+					EndpointAllocations endpoint = this.byId.get(share.endpoint());
+					return endpoint != null && endpoint.holds(key);
+				});
+		if (!isHeld) {
+			release(key);
+		}
+	}
+
 	boolean releaseHolder(InstanceId holder) {
 		return releaseIf((entry) -> entry.holder().equals(holder));
 	}
@@ -170,15 +199,17 @@
 	private void observe(EndpointReport report, long nowMillis) {
 		EndpointAllocations known = this.byId.get(report.endpoint());
 		if (known != null) {
-			known.observe(report, nowMillis).forEach(this::release);
+			known.observe(report, nowMillis).forEach(this::releaseUnlessHeld);
 			return;
 		}
 		long startedMillis = nowMillis - report.uptimeMillis();
 		EndpointAllocations added = new EndpointAllocations(report,
 				ColdStartRamp.startingAt(this.rampSettings, startedMillis),
 				new ColdRequestLimit(report.coldPeriod(), this.sharedUntilMillis, nowMillis));
+		added.speed().setLearning(this.learnsSpeeds);
 		this.byId.put(report.endpoint(), added);
 		this.grants.values().forEach((entry) -> allocateOn(added, entry.grant(), nowMillis));
+		added.speed().ignoreGranted();
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -241,6 +241,15 @@
 	public synchronized void announce(InstanceId holder, Grant grant, long nowMillis) {
 		this.queue.remove(grant.key());
 		this.allocations.allocate(holder, grant, nowMillis);
+		this.allocations.forEachEndpoint(grant, (endpoint) -> endpoint.speed().ignore(grant.key()));
+	}
+
+	/**
+	 * Starts or stops to learn the endpoints' speeds from their answers.
+	 * @param isLearning whether to learn
+	 */
+	public synchronized void learnSpeeds(boolean isLearning) {
+		this.allocations.learnSpeeds(isLearning);
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -31,6 +31,7 @@
 import org.poplarloom.core.process.ShardHome;
 import org.poplarloom.core.process.ShardId;
 import org.poplarloom.core.process.ShardStatus;
+import org.poplarloom.core.process.SpeedAwarePlacement;
 import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.GrantDecision;
 import org.poplarloom.core.request.GrantRequest;
@@ -147,6 +148,8 @@
 		}
 		if (!this.homes.isEmpty()) {
 			releaseEndedHolders(now);
+			boolean isLearning = learnsSpeeds(now);
+			this.homes.values().forEach((home) -> home.shardHome().learnSpeeds(isLearning));
 		}
 		if (this.membership.hasSilentMember(MAX_CUT_OFF_MILLIS, now)) {
 			this.homes.values().forEach((home) -> home.shardHome().expectOtherHome(now));
@@ -208,10 +211,17 @@
 		}
 	}
 
+	private boolean learnsSpeeds(long now) {
+		return this.settings.load().learnsEndpointSpeeds()
+				&& this.membership.live(this.settings.zone(), now).size() >= this.settings.load().spreadMinInstances();
+	}
+
 	private ShardHome newHome(long now) {
 		long settleEndMillis = now + this.settings.settleMillis();
 		long agreementMillis = this.settings.failureTimeoutMillis() + AGREEMENT_MARGIN_MILLIS;
-		PlacementPolicy policy = this.placementPolicies.get();
+		boolean mayLearnSpeeds = this.settings.load().learnsEndpointSpeeds();
+		PlacementPolicy policy = mayLearnSpeeds ? new SpeedAwarePlacement(this.placementPolicies.get())
+				: this.placementPolicies.get();
 		return this.settings.load().hasTeamShares()
 				? ShardHome.withTeamShares(policy, this.settings.ramp(), settleEndMillis, agreementMillis)
 				: ShardHome.of(policy, this.settings.ramp(), settleEndMillis, agreementMillis);
