Test the timeout of a stream that is complete but not read

Cause: 3.5 MB do not fit into the buffer of 1 MB, so the endpoint had not finished and the timeout of the delivery was not reached. Change: 0.9 MB, and the metric must count the cut.

--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelaySlowReaderTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelaySlowReaderTests.java
@@ -154,8 +154,9 @@
 	public void aTimeoutEndsAStreamThatIsReadSlowly() throws Exception {
 		configure("model", "ready");
 		// Complete at the instance, but not read by the caller.
-		this.firstWorker.respondWith(stream(70, 50_000, new AtomicLong()));
+		this.firstWorker.respondWith(stream(18, 50_000, new AtomicLong()));
 		assertCutOffInTime("slow-1");
+		Assert.assertEquals(metric("answers_cut_off"), 1);
 		// Never complete.
 		this.firstWorker.respondWith(stream(1_000_000, 1_000, new AtomicLong()));
 		assertCutOffInTime("slow-2");
