Keep the first bounds of two tests of new parts, as known red

Cause: two bounds had been widened after a run had failed on them: 80% of the callers that return after a burst are served (two thirds), and at most 0.05 more requests leave their zone when all zones peak together (0.10).

--- a/poplarloom-core/src/test/java/org/poplarloom/core/admission/CapacityShortageTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/admission/CapacityShortageTests.java
@@ -130,6 +130,26 @@
 	 */
 	@Test
 	public void burstOfOneKindOnFullEngines() {
+		BurstResult result = burst();
+		List<Long> refusals = result.refusals;
+		long soon = refusals.stream().filter((millis) -> millis <= SOON_MILLIS).count();
+		Assert.assertTrue(refusals.size() > 50, "the load does not exceed the capacity: " + refusals.size());
+		Assert.assertTrue(soon >= 0.9 * refusals.size(), soon + " of " + refusals.size() + " refused soon");
+		Assert.assertTrue(result.inTime >= 0.9 * result.served, result.inTime + " of " + result.served + " in time");
+	}
+
+	/**
+	 * Guards against callers that return when they were told to and are refused again,
+	 * overtaken by others.
+	 */
+	@Test(groups = "known-red")
+	public void callersThatReturnAfterABurstAreServed() {
+		BurstResult result = burst();
+		Assert.assertTrue(5 * result.servedReturning >= 4 * result.returned,
+				result.servedReturning + " of " + result.returned + " that returned");
+	}
+
+	private static BurstResult burst() {
 		AdmissionLoad load = load(5);
 		sendFromSmallTeams(load, 1.0);
 		load.run(WARM_UP_MILLIS);
@@ -140,23 +160,15 @@
 		load.run(6_000);
 		burst.forEach(load::stop);
 		load.run(6_000);
-		List<Long> refusals = new ArrayList<>();
-		int served = 0;
-		int inTime = 0;
-		int returned = 0;
-		int servedReturning = 0;
+		BurstResult result = new BurstResult();
 		for (AdmissionLoad.Totals total : load.totals().values()) {
-			refusals.addAll(total.refusalMillis());
-			served += total.served();
-			inTime += total.inTime();
-			returned += total.returned();
-			servedReturning += total.servedReturning();
+			result.refusals.addAll(total.refusalMillis());
+			result.served += total.served();
+			result.inTime += total.inTime();
+			result.returned += total.returned();
+			result.servedReturning += total.servedReturning();
 		}
-		long soon = refusals.stream().filter((millis) -> millis <= SOON_MILLIS).count();
-		Assert.assertTrue(refusals.size() > 50, "the load does not exceed the capacity: " + refusals.size());
-		Assert.assertTrue(soon >= 0.9 * refusals.size(), soon + " of " + refusals.size() + " refused soon");
-		Assert.assertTrue(inTime >= 0.9 * served, inTime + " of " + served + " in time");
-		Assert.assertTrue(3 * servedReturning >= 2 * returned, servedReturning + " of " + returned + " that returned");
+		return result;
 	}
 
 	/**
@@ -265,4 +277,21 @@
 		return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - start;
 	}
 
+	/**
+	 * The sums over all teams after a burst.
+	 */
+	private static final class BurstResult {
+
+		private final List<Long> refusals = new ArrayList<>();
+
+		private int served;
+
+		private int inTime;
+
+		private int returned;
+
+		private int servedReturning;
+
+	}
+
 }
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/SpareCapacityChoiceTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/SpareCapacityChoiceTests.java
@@ -207,6 +207,9 @@
 	 */
 	public static class ManyInstances {
 
+		/** Bytes between zones are billed. */
+		private static final double MAX_MORE_REMOTE = 0.05;
+
 		private static final Map<String, IntFunction<HomeChoice>> CHOICES = new LinkedHashMap<>();
 
 		static {
@@ -252,10 +255,6 @@
 		// The choice may be less even than today's only by little more than exact
 		// information would make it; bytes between zones are billed.
 		private static void check(HomeLoadSimulation.Load load) {
-			check(load, 0.05);
-		}
-
-		private static void check(HomeLoadSimulation.Load load, double maxMoreRemote) {
 			Map<String, double[]> means = compare(load);
 			double[] former = means.get("less_loaded_of_two");
 			double[] spare = means.get("spare_capacity");
@@ -263,7 +262,7 @@
 			Assert.assertTrue(spare[0] <= largest, load + ": largest to mean " + spare[0] + ", bound " + largest);
 			Assert.assertTrue(spare[3] <= former[3] + HomeLoadSimulation.STEP_MILLIS,
 					load + ": 99th percentile " + spare[3] + " ms, former " + former[3] + " ms");
-			Assert.assertTrue(spare[4] <= former[4] + maxMoreRemote,
+			Assert.assertTrue(spare[4] <= former[4] + MAX_MORE_REMOTE,
 					load + ": share in other zones " + spare[4] + ", former " + former[4]);
 		}
 
@@ -279,13 +278,14 @@
 			check(new HomeLoadSimulation.Load("out_of_phase_60s", 100, 2_000, 0.85, 0.55, 60_000, false, -1));
 		}
 
-		// All zones are overloaded at the peak, and more requests than today leave their
-		// zone: what differs then is chance and the age of the statuses.
-		@Test
+		// All zones are overloaded at the peak, and what differs between them is chance
+		// and
+		// the age of the statuses.
+		@Test(groups = "known-red")
 		public void demandInPhase() {
-			check(new HomeLoadSimulation.Load("in_phase_5s", 100, 2_000, 0.7, 0.55, 5_000, true, -1), 0.1);
-			check(new HomeLoadSimulation.Load("in_phase_15s", 100, 2_000, 0.7, 0.55, 15_000, true, -1), 0.1);
-			check(new HomeLoadSimulation.Load("in_phase_60s", 100, 2_000, 0.7, 0.55, 60_000, true, -1), 0.1);
+			check(new HomeLoadSimulation.Load("in_phase_5s", 100, 2_000, 0.7, 0.55, 5_000, true, -1));
+			check(new HomeLoadSimulation.Load("in_phase_15s", 100, 2_000, 0.7, 0.55, 15_000, true, -1));
+			check(new HomeLoadSimulation.Load("in_phase_60s", 100, 2_000, 0.7, 0.55, 60_000, true, -1));
 		}
 
 		@Test
