--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -1,9 +1,7 @@
 package org.poplarloom.entry.process;
 
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -23,7 +21,6 @@
 import org.poplarloom.core.process.EvenPlacement;
 import org.poplarloom.core.process.MemoryBudget;
 import org.poplarloom.core.process.PlacementPolicy;
-import org.poplarloom.core.process.SpareCapacityChoice;
 import org.poplarloom.core.version.RoutingTable;
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.relay.AnswerBuffers;
@@ -135,12 +132,7 @@
 		this.metrics.registerGauge("answers.paused", answerBuffers::pausedCount);
 		this.metrics.registerGauge("answers.cut_off", answerBuffers::cutOffCount);
 		this.metrics.registerGauge("bodies.given_up", incomingBodies::givenUpCount);
-		this.metrics.registerGauge("grants.held", () -> (long) this.node.grantClient().heldCount());
-		this.metrics.registerGauges(this::sentToPeers);
-		this.metrics.registerGauges(() -> this.node.localHomes().teamFigures());
-		if (this.node.loadSpread().isEnabled()) {
-			registerSpreadGauges();
-		}
+		NodeGauges.register(this.metrics, this.node);
 		this.callerServer = new CallerServer(this.group, new CallerFormat(), this.relay,
 				() -> this.routing.table().map(RoutingTable::limits).orElse(RoutingTable.CallerLimits.DEFAULT));
 		this.routing.whenActivated(() -> this.loop.execute(() -> {
@@ -149,46 +141,11 @@
 		}));
 	}
 
-	private Map<String, Long> sentToPeers() {
-		Map<String, Long> values = new LinkedHashMap<>();
-		this.node.network().traffic().sentByKind().forEach((kind, sent) -> {
-			values.put("peer.sent_messages." + kind, sent.messages());
-			values.put("peer.sent_bytes." + kind, sent.bytes());
-		});
-		return values;
-	}
-
 	private PlacementPolicy newPlacement() {
 		return this.settings.load().isSpread() ? new EvenPlacement(this.node.loadSpread()::isActive, new Random())
 				: new CostPlacement();
 	}
 
-	private void registerSpreadGauges() {
-		LoadSpread spread = this.node.loadSpread();
-		this.metrics.registerGauge("load_spread.active", () -> spread.isActive() ? 1L : 0L);
-		this.metrics.registerGauge("load_spread.spilling", () -> this.node.homeSelector().isSpilling() ? 1L : 0L);
-		this.metrics.registerGauge("load_spread.chosen_local", spread::chosenLocal);
-		this.metrics.registerGauge("load_spread.chosen_other_zones", spread::chosenRemote);
-		this.metrics.registerGauge("load_spread.spare_slots_local", () -> spareSlots(true));
-		this.metrics.registerGauge("load_spread.spare_slots_other_zones", () -> spareSlots(false));
-		this.metrics.registerGauge("load_spread.oldest_status_ms",
-				() -> this.node.homeSelector()
-					.beliefs()
-					.stream()
-					.mapToLong(SpareCapacityChoice.Belief::ageMillis)
-					.max()
-					.orElse(0));
-	}
-
-	private long spareSlots(boolean isLocal) {
-		return Math.round(this.node.homeSelector()
-			.beliefs()
-			.stream()
-			.filter((belief) -> belief.isLocal() == isLocal)
-			.mapToDouble(SpareCapacityChoice.Belief::spareSlots)
-			.sum());
-	}
-
 	private AnswerBuffers answerBuffers(MemoryBudget memory) {
 		LongSupplier nowMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 		return this.settings.load().buffersSlowReaders() ? AnswerBuffers.ofBudget(memory, nowMillis)
