Name the estimated load of homes by its usual term

Cause: the choice of homes called its estimates beliefs. Change: they are LoadEstimate, in the log estimates=.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/SpareCapacityChoice.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/SpareCapacityChoice.java
@@ -11,7 +11,7 @@
 import org.poplarloom.core.InstanceId;
 
 /**
- * Chooses homes in proportion to the spare capacity that they are believed to have, so
+ * Chooses homes in proportion to the spare capacity that they are estimated to have, so
  * that many instances with the same old information do not all choose the same home.
  * <p>
  * The load of a home is its last status, plus what it has granted to this instance since
@@ -85,9 +85,9 @@
 	@Override
 	public synchronized Optional<ShardStatus> choose(List<HomeCandidate> candidates, boolean isLong,
 			RandomGenerator random, long nowMillis) {
-		List<Belief> beliefs = beliefs(candidates, nowMillis);
-		List<Belief> local = beliefs.stream().filter(Belief::isLocal).toList();
-		List<Belief> remote = beliefs.stream().filter((belief) -> !belief.isLocal()).toList();
+		List<LoadEstimate> estimates = estimates(candidates, nowMillis);
+		List<LoadEstimate> local = estimates.stream().filter(LoadEstimate::isLocal).toList();
+		List<LoadEstimate> remote = estimates.stream().filter((estimate) -> !estimate.isLocal()).toList();
 		if (local.isEmpty()) {
 			return inProportion(remote, random);
 		}
@@ -96,26 +96,26 @@
 		if (isLong || !this.spilling) {
 			return inProportion(local, random);
 		}
-		List<Belief> lessUtilized = remote.stream()
-			.filter((belief) -> belief.utilization() < utilization - MIN_DIFFERENCE)
+		List<LoadEstimate> lessUtilized = remote.stream()
+			.filter((estimate) -> estimate.utilization() < utilization - MIN_DIFFERENCE)
 			.toList();
 		double remoteShare = Math.min(MAX_REMOTE_SHARE, (utilization - RETURN_UTILIZATION) / (1 - RETURN_UTILIZATION));
 		boolean isRemote = !lessUtilized.isEmpty() && random.nextDouble() < remoteShare;
 		return inProportion(isRemote ? lessUtilized : local, random);
 	}
 
-	private static Optional<ShardStatus> inProportion(List<Belief> beliefs, RandomGenerator random) {
-		if (beliefs.size() <= 1) {
-			return beliefs.stream().findFirst().map(Belief::status);
+	private static Optional<ShardStatus> inProportion(List<LoadEstimate> estimates, RandomGenerator random) {
+		if (estimates.size() <= 1) {
+			return estimates.stream().findFirst().map(LoadEstimate::status);
 		}
-		double remaining = random.nextDouble() * beliefs.stream().mapToDouble(Belief::weight).sum();
-		for (Belief belief : beliefs) {
-			remaining -= belief.weight();
+		double remaining = random.nextDouble() * estimates.stream().mapToDouble(LoadEstimate::weight).sum();
+		for (LoadEstimate estimate : estimates) {
+			remaining -= estimate.weight();
 			if (remaining < 0) {
-				return Optional.of(belief.status());
+				return Optional.of(estimate.status());
 			}
 		}
-		return Optional.of(beliefs.get(beliefs.size() - 1).status());
+		return Optional.of(estimates.get(estimates.size() - 1).status());
 	}
 
 	/**
@@ -124,7 +124,7 @@
 	 * @param nowMillis the time in milliseconds, by a clock that does not jump
 	 * @return one estimate per home in the same order
 	 */
-	public synchronized List<Belief> beliefs(List<HomeCandidate> candidates, long nowMillis) {
+	public synchronized List<LoadEstimate> estimates(List<HomeCandidate> candidates, long nowMillis) {
 		double load = 0;
 		double slots = 0;
 		for (HomeCandidate candidate : candidates) {
@@ -132,23 +132,23 @@
 			slots += slots(candidate);
 		}
 		double mean = (slots > 0) ? load / slots : 0;
-		List<Belief> beliefs = new ArrayList<>();
+		List<LoadEstimate> estimates = new ArrayList<>();
 		for (HomeCandidate candidate : candidates) {
 			double trust = Math.exp(-candidate.ageMillis() / TRUST_MILLIS);
 			double utilization = trust * load(candidate, nowMillis) / slots(candidate) + (1 - trust) * mean;
-			beliefs.add(new Belief(candidate.status(), candidate.isLocal(), candidate.ageMillis(), slots(candidate),
-					utilization));
+			estimates.add(new LoadEstimate(candidate.status(), candidate.isLocal(), candidate.ageMillis(),
+					slots(candidate), utilization));
 		}
-		return beliefs;
+		return estimates;
 	}
 
 	private static int slots(HomeCandidate candidate) {
 		return Math.max(1, candidate.status().summary().slots());
 	}
 
-	private static double meanUtilization(List<Belief> beliefs) {
-		double slots = beliefs.stream().mapToDouble(Belief::slots).sum();
-		return beliefs.stream().mapToDouble((belief) -> belief.utilization() * belief.slots()).sum() / slots;
+	private static double meanUtilization(List<LoadEstimate> estimates) {
+		double slots = estimates.stream().mapToDouble(LoadEstimate::slots).sum();
+		return estimates.stream().mapToDouble((estimate) -> estimate.utilization() * estimate.slots()).sum() / slots;
 	}
 
 	private double load(HomeCandidate candidate, long nowMillis) {
@@ -186,7 +186,7 @@
 	}
 
 	/**
-	 * What is believed of the load of a home. This class is immutable and thread-safe.
+	 * The estimated load of a home. This class is immutable and thread-safe.
 	 *
 	 * @param status the last status of the home
 	 * @param isLocal whether the home is in the zone of this instance
@@ -195,10 +195,10 @@
 	 * @param utilization the estimated running and queued requests as a fraction of the
 	 * slots, from 0
 	 */
-	public record Belief(ShardStatus status, boolean isLocal, long ageMillis, int slots, double utilization) {
+	public record LoadEstimate(ShardStatus status, boolean isLocal, long ageMillis, int slots, double utilization) {
 
 		/**
-		 * Returns the requests that the home is believed to be able to start now.
+		 * Returns the requests that the home is estimated to be able to start now.
 		 * @return a number from 0
 		 */
 		public double spareSlots() {
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/SpareCapacityChoiceTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/SpareCapacityChoiceTests.java
@@ -118,7 +118,7 @@
 		}
 
 		private static double utilization(SpareCapacityChoice choice, long ageMillis) {
-			return choice.beliefs(List.of(candidate("a", true, 90, 0), candidate("b", false, 10, ageMillis)), 1_000)
+			return choice.estimates(List.of(candidate("a", true, 90, 0), candidate("b", false, 10, ageMillis)), 1_000)
 				.get(1)
 				.utilization();
 		}
@@ -128,20 +128,22 @@
 			SpareCapacityChoice choice = new SpareCapacityChoice(() -> 3);
 			ShardId shard = new ShardId(AvailabilityZone.of("b"), 0);
 			choice.recordGranted(shard, 8, 10_000);
-			double load = choice.beliefs(List.of(candidate("b", false, 10, 1_000)), 10_000).get(0).utilization() * 100;
+			double load = choice.estimates(List.of(candidate("b", false, 10, 1_000)), 10_000).get(0).utilization()
+					* 100;
 			Assert.assertEquals(load, 10 + 8 + 2 * 8 / 4.0, 0.001);
 			choice.recordEnded(shard, 8, 10_050);
-			Assert.assertEquals(choice.beliefs(List.of(candidate("b", false, 10, 1_000)), 10_050).get(0).utilization(),
-					0.1, 0.001);
+			Assert.assertEquals(
+					choice.estimates(List.of(candidate("b", false, 10, 1_000)), 10_050).get(0).utilization(), 0.1,
+					0.001);
 		}
 
 		@Test
 		public void aHomeThatHasJustReplacedAnotherCountsAtLeastItsLoad() {
 			SpareCapacityChoice choice = new SpareCapacityChoice(() -> 3);
-			choice.beliefs(List.of(candidate("b", false, 80, 0)), 1_000);
+			choice.estimates(List.of(candidate("b", false, 80, 0)), 1_000);
 			List<HomeCandidate> replaced = List.of(candidate("b", false, InstanceId.of("other"), 0, 0));
-			Assert.assertEquals(choice.beliefs(replaced, 1_100).get(0).utilization(), 0.8, 0.001);
-			Assert.assertEquals(choice.beliefs(replaced, 3_200).get(0).utilization(), 0, 0.001);
+			Assert.assertEquals(choice.estimates(replaced, 1_100).get(0).utilization(), 0.8, 0.001);
+			Assert.assertEquals(choice.estimates(replaced, 3_200).get(0).utilization(), 0, 0.001);
 		}
 
 		@Test
@@ -150,7 +152,7 @@
 			ShardId shard = new ShardId(AvailabilityZone.of("b"), 0);
 			choice.recordGranted(shard, 5, 10_000);
 			choice.recordGranted(shard, 5, 2_000);
-			double load = choice.beliefs(List.of(candidate("b", false, 10, -7_000)), 2_000).get(0).utilization();
+			double load = choice.estimates(List.of(candidate("b", false, 10, -7_000)), 2_000).get(0).utilization();
 			Assert.assertEquals(load, 0.1, 0.001);
 		}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/HomeSelector.java
@@ -93,15 +93,15 @@
 	}
 
 	/**
-	 * Returns what is believed of the load of the homes that can be chosen.
+	 * Returns the estimated load of the homes that can be chosen.
 	 * @return one estimate per home; empty while load is not spread
 	 */
-	public List<SpareCapacityChoice.Belief> beliefs() {
+	public List<SpareCapacityChoice.LoadEstimate> estimates() {
 		if (!this.spread.isActive()) {
 			return List.of();
 		}
 		long now = this.clock.nowMillis();
-		return this.spareCapacity.beliefs(homeCandidates(candidates(), this.membership.statusAges(now)), now);
+		return this.spareCapacity.estimates(homeCandidates(candidates(), this.membership.statusAges(now)), now);
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LoadSpread.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LoadSpread.java
@@ -108,30 +108,30 @@
 	}
 
 	/**
-	 * Logs what is believed of the homes if requests go to other zones because of the
+	 * Logs the estimated load of the homes if requests go to other zones because of the
 	 * utilization of the local one, and once when they no longer do. It is called
 	 * periodically by one thread.
 	 * @param isSpilling whether requests go to other zones
-	 * @param beliefs what is believed of the homes
+	 * @param estimates the estimated load of the homes
 	 */
-	void report(boolean isSpilling, List<SpareCapacityChoice.Belief> beliefs) {
+	void report(boolean isSpilling, List<SpareCapacityChoice.LoadEstimate> estimates) {
 		long local = this.chosenLocal.get();
 		long remote = this.chosenRemote.get();
 		if (isSpilling || this.reportedSpilling) {
 			long total = Math.max(1, local - this.reportedLocal + remote - this.reportedRemote);
-			logger.info("event=load_spread spilling={} requests={} other_zones_percent={} homes={} believed={}",
+			logger.info("event=load_spread spilling={} requests={} other_zones_percent={} homes={} estimates={}",
 					isSpilling, local - this.reportedLocal + remote - this.reportedRemote,
-					Math.round(PERCENT * (remote - this.reportedRemote) / total), beliefs.size(),
-					beliefs.stream().limit(MAX_LOGGED_HOMES).map(LoadSpread::describe).toList());
+					Math.round(PERCENT * (remote - this.reportedRemote) / total), estimates.size(),
+					estimates.stream().limit(MAX_LOGGED_HOMES).map(LoadSpread::describe).toList());
 		}
 		this.reportedSpilling = isSpilling;
 		this.reportedLocal = local;
 		this.reportedRemote = remote;
 	}
 
-	private static String describe(SpareCapacityChoice.Belief belief) {
-		return belief.status().shard() + ":spare=" + Math.round(belief.spareSlots()) + "/" + belief.slots()
-				+ ",utilization=" + Math.round(PERCENT * belief.utilization()) + "%,age_ms=" + belief.ageMillis();
+	private static String describe(SpareCapacityChoice.LoadEstimate estimate) {
+		return estimate.status().shard() + ":spare=" + Math.round(estimate.spareSlots()) + "/" + estimate.slots()
+				+ ",utilization=" + Math.round(PERCENT * estimate.utilization()) + "%,age_ms=" + estimate.ageMillis();
 	}
 
 }
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -164,7 +164,7 @@
 		runPeriodically(QUEUE_LOG_PERIOD_MILLIS, this.localHomes::logQueues);
 		if (this.loadSpread.isEnabled()) {
 			runPeriodically(LOAD_SPREAD_LOG_PERIOD_MILLIS,
-					() -> this.loadSpread.report(this.selector.isSpilling(), this.selector.beliefs()));
+					() -> this.loadSpread.report(this.selector.isSpilling(), this.selector.estimates()));
 		}
 		runPeriodically(LIST_REFRESH_PERIOD_MILLIS, () -> this.directory.refresh().subscribe());
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/NodeGauges.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/NodeGauges.java
@@ -57,18 +57,18 @@
 
 	private long spareSlots(boolean isLocal) {
 		return Math.round(this.node.homeSelector()
-			.beliefs()
+			.estimates()
 			.stream()
-			.filter((belief) -> belief.isLocal() == isLocal)
-			.mapToDouble(SpareCapacityChoice.Belief::spareSlots)
+			.filter((estimate) -> estimate.isLocal() == isLocal)
+			.mapToDouble(SpareCapacityChoice.LoadEstimate::spareSlots)
 			.sum());
 	}
 
 	private long oldestStatusMillis() {
 		return this.node.homeSelector()
-			.beliefs()
+			.estimates()
 			.stream()
-			.mapToLong(SpareCapacityChoice.Belief::ageMillis)
+			.mapToLong(SpareCapacityChoice.LoadEstimate::ageMillis)
 			.max()
 			.orElse(0);
 	}
