Let the chat surface take over shards after it has heard of its zone

A daemon of the chat surface took over the shards of its zone at once, before it had read the instance list; its peer knew of it only about 1 s later, and the settle time of these tests is 0.5 s. Both homes granted the same engines, and the engines rejected the token of one. The early end of the settle time had no part in it (no event=settled_early). Change: takeOverAfterDiscovery reads the list, greets the listed instances of the zone and takes over when they have replied, or after 2 s; the relaying daemon did so already and uses the same constants.

--- a/poplarloom-bench/src/test/java/org/poplarloom/bench/demo/HomeChangeTests.java
+++ b/poplarloom-bench/src/test/java/org/poplarloom/bench/demo/HomeChangeTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
@@ -32,6 +33,9 @@
 
 	private static final long AWAIT_TIMEOUT_MILLIS = 20_000;
 
+	/** The instance list is read once a second. */
+	private static final long START_MILLIS = 1_500;
+
 	private final Caller caller = new Caller();
 
 	private LocalSystem system;
@@ -67,6 +71,28 @@
 		}
 	}
 
+	/**
+	 * Guards against two homes that grant the same engines: an instance took over the
+	 * shards of its zone before it had heard of the others.
+	 */
+	@Test
+	public void noShardHasTwoHomesAfterAStart() {
+		long end = System.currentTimeMillis() + START_MILLIS;
+		while (System.currentTimeMillis() < end) {
+			for (String zone : LocalSystem.Layout.DEFAULT.zones()) {
+				List<String> homes = this.system.daemons()
+					.entrySet()
+					.stream()
+					.filter((entry) -> entry.getKey().startsWith(zone)
+							&& !entry.getValue().node().localHomes().isEmpty())
+					.map(Map.Entry::getKey)
+					.toList();
+				Assert.assertTrue(homes.size() <= 1, homes.toString());
+			}
+			LocalSystem.sleep(5);
+		}
+	}
+
 	@Test
 	public void newHomeLearnsGrantsAndStreamsCompleteWhenHomeStopsAbruptly() {
 		await("gijon does not have exactly one home",
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -83,7 +83,7 @@
 	private void start() {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
-		this.node.localHomes().allowTakeOver();
+		this.node.takeOverAfterDiscovery();
 		this.node.configurationFollower().start();
 		this.node.startUsagePublishing();
 		EntryMetrics metrics = new EntryMetrics();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -57,6 +57,15 @@
 
 	private static final long LIST_REFRESH_PERIOD_MILLIS = 1_000;
 
+	/** Other instances of the zone reply to a greeting within a few milliseconds. */
+	static final long GREETING_REPLY_MILLIS = 150;
+
+	/**
+	 * An instance that hears nothing of the listed ones acts on what it knows after this
+	 * time.
+	 */
+	static final long MAX_DISCOVERY_MILLIS = 2_000;
+
 	private static final long CRASH_RETENTION_MILLIS = 600_000;
 
 	private static final long USAGE_TICK_PERIOD_MILLIS = 1_000;
@@ -169,6 +178,26 @@
 		runPeriodically(LIST_REFRESH_PERIOD_MILLIS, () -> this.directory.refresh().subscribe());
 	}
 
+	/**
+	 * Lets this instance take over shards once the listed instances of its zone have
+	 * replied to a greeting, or after a limited time. Until then it would take itself for
+	 * the home of every shard.
+	 */
+	public void takeOverAfterDiscovery() {
+		long end = this.clock.nowMillis() + MAX_DISCOVERY_MILLIS;
+		this.directory.refresh().doFinally((signal) -> greetUntil(end)).subscribe();
+	}
+
+	private void greetUntil(long endMillis) {
+		if (this.instances.undiscovered().isEmpty() || this.clock.nowMillis() >= endMillis) {
+			this.localHomes.allowTakeOver();
+		}
+		else if (!this.closed) {
+			this.gossiper.greetUndiscovered();
+			this.runtime.tasks().schedule(() -> greetUntil(endMillis), GREETING_REPLY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private void followMembership() {
 		if (this.loadSpread.isEnabled()) {
 			this.loadSpread.update(this.membership.live(this.settings.zone(), this.clock.nowMillis()).size());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -68,14 +68,6 @@
 
 	private static final long ENTRY_RETRY_MILLIS = 1_000;
 
-	/** Other instances of the zone reply to a greeting within a few milliseconds. */
-	private static final long GREETING_REPLY_MILLIS = 150;
-
-	/**
-	 * If the store does not answer, an instance acts on what it knows after this time.
-	 */
-	private static final long MAX_DISCOVERY_MILLIS = 2_000;
-
 	/**
 	 * Each instance that has news passes it on, so n instances know it in about log(n)
 	 * rounds.
@@ -156,7 +148,7 @@
 		this.reading.start(this.operatorTable, this.endpointTable);
 		this.node.gossiper().announce(this.operatorTable, this.endpointTable, this.reading);
 		publishOwnEntry();
-		allowTakeOverAfter(MAX_DISCOVERY_MILLIS);
+		allowTakeOverAfter(Node.MAX_DISCOVERY_MILLIS);
 	}
 
 	private void allowTakeOverAfter(long delayMillis) {
@@ -245,7 +237,7 @@
 		records.forEach(this.entries::updateInstance);
 		this.node.refreshEndpoints();
 		this.node.gossiper().greetUndiscovered();
-		allowTakeOverAfter(GREETING_REPLY_MILLIS);
+		allowTakeOverAfter(Node.GREETING_REPLY_MILLIS);
 	}
 
 	// A record that cannot be applied must not keep back those after it.
