Do not count attempts that an engine rejects as executed or used up

Cause: a chat request was refused as executed although each of its attempts had been rejected for a stale fencing token, and its four attempts were used up within 0.2 s, before the home's next report of the engine, which is due within 0.5 s. A token cannot overflow any more.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/FencingToken.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/FencingToken.java
@@ -20,6 +20,8 @@
 
 	private static final long INSTANCE_MASK = (1L << INSTANCE_BITS) - 1;
 
+	private static final long MAX_COUNT = Long.MAX_VALUE >>> INSTANCE_BITS;
+
 	public FencingToken {
 		if (value < 0) {
 			throw new PoplarloomException(ErrorCode.INTERNAL, "fencing token must not be negative, but was " + value);
@@ -29,10 +31,11 @@
 	/**
 	 * Returns the next higher token for the given instance.
 	 * @param instance the new home
-	 * @return a token higher than this one
+	 * @return a token higher than this one, or the instance's highest token if the count
+	 * cannot become higher
 	 */
 	public FencingToken next(InstanceId instance) {
-		long count = (this.value >>> INSTANCE_BITS) + 1;
+		long count = Math.min((this.value >>> INSTANCE_BITS) + 1, MAX_COUNT);
 		return new FencingToken((count << INSTANCE_BITS) | (instance.value().hashCode() & INSTANCE_MASK));
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/ChatService.java
@@ -43,8 +43,16 @@
 
 	private static final int MAX_ATTEMPTS = 4;
 
+	/**
+	 * A stale fencing token is replaced after the endpoint's next report, which is due
+	 * within 500 ms.
+	 */
+	private static final int MAX_REJECTED_ATTEMPTS = 20;
+
 	private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
+	private static final Duration REJECTED_RETRY_DELAY = Duration.ofMillis(200);
+
 	private final Node node;
 
 	private final TeamLimits limits;
@@ -125,6 +133,9 @@
 
 		private int attemptNumber = 1;
 
+		/** The attempts that endpoints have rejected without executing anything. */
+		private int rejectedAttempts;
+
 		private long deliveredTokens;
 
 		private long usedTokens;
@@ -165,23 +176,22 @@
 		}
 
 		private Flux<EngineEvent> stream(HeldGrant held) {
+			Attempt attempt = new Attempt(held, this.sent);
 			this.sent = true;
 			this.attemptStartedMillis = ChatService.this.node.clock().nowMillis();
 			this.lastGrant = held;
-			AnswerSequence sequence = AnswerSequence.of(this.request.id(), this.attemptNumber, this.deliveredTokens);
 			Span endpointSpan = ChatService.this.node.tracing().start("endpoint", Tracing.traceParent(this.span));
 			endpointSpan.setAttribute("endpoint", held.grant().answeringEndpoint().value());
 			EngineCall call = new EngineCall(this.request.id(), this.attemptNumber, held.grant().priority(),
 					held.grant().fencingToken().value(), this.deliveredTokens,
 					usageKey(held.grant().answeringEndpoint()).account(), null, Tracing.traceParent(endpointSpan),
 					this.request.body());
-			Attempt attempt = new Attempt(held, sequence);
 			SegmentedCall segmentedCall = new SegmentedCall(ChatService.this.node.endpoints(),
 					ChatService.this.node.grantClient(), held);
 			return segmentedCall.generate(call)
 				.<EngineEvent>handle((event, sink) -> accept(attempt, event, sink))
 				.concatWith(Flux.defer(() -> attempt.isEnded() ? Flux.empty() : Flux.error(truncated())))
-				.doOnError(attempt::excludeFailedEndpoint)
+				.doOnError(attempt::recordFailure)
 				.doFinally((signal) -> {
 					endpointSpan.end();
 					attempt.release();
@@ -251,14 +261,17 @@
 
 		private Flux<EngineEvent> retryOrFail(PoplarloomException cause) {
 			boolean isRetryable = cause.code() == ErrorCode.ENDPOINT_FAILED || cause.code() == ErrorCode.NOT_HOME;
-			if (!isRetryable || this.attemptNumber >= MAX_ATTEMPTS || isQuarantined() || !spendRetry(cause)) {
+			boolean isLastAttempt = this.attemptNumber - this.rejectedAttempts >= MAX_ATTEMPTS
+					|| this.rejectedAttempts >= MAX_REJECTED_ATTEMPTS;
+			if (!isRetryable || isLastAttempt || isQuarantined() || !spendRetry(cause)) {
 				return Flux.error(this.sent ? withExecuted(cause) : cause);
 			}
 			logger.info("request {} attempt {} failed, retrying: {}", this.request.id(), this.attemptNumber,
 					cause.getMessage());
 			ChatService.this.metrics.countRetry();
 			this.attemptNumber++;
-			return Mono.delay(RETRY_DELAY).thenMany(Flux.defer(this::startAttempt));
+			Duration delay = (this.rejectedAttempts > 0) ? REJECTED_RETRY_DELAY : RETRY_DELAY;
+			return Mono.delay(delay).thenMany(Flux.defer(this::startAttempt));
 		}
 
 		private PoplarloomException withExecuted(PoplarloomException cause) {
@@ -310,13 +323,17 @@
 
 			private final AnswerSequence sequence;
 
+			private final boolean sentBefore;
+
 			private EndpointId failedEndpoint;
 
 			private boolean firstTokenReported;
 
-			Attempt(HeldGrant held, AnswerSequence sequence) {
+			Attempt(HeldGrant held, boolean sentBefore) {
 				this.held = held;
-				this.sequence = sequence;
+				this.sequence = AnswerSequence.of(Execution.this.request.id(), Execution.this.attemptNumber,
+						Execution.this.deliveredTokens);
+				this.sentBefore = sentBefore;
 			}
 
 			boolean isEnded() {
@@ -334,13 +351,16 @@
 				}
 			}
 
-			void excludeFailedEndpoint(Throwable failure) {
-				boolean isEndpointFailure = failure instanceof PoplarloomException known
-						&& known.code() == ErrorCode.ENDPOINT_FAILED;
-				if (isEndpointFailure) {
+			void recordFailure(Throwable failure) {
+				ErrorCode code = (failure instanceof PoplarloomException known) ? known.code() : ErrorCode.INTERNAL;
+				if (code == ErrorCode.ENDPOINT_FAILED) {
 					this.failedEndpoint = this.held.grant().answeringEndpoint();
 					Execution.this.excluded.add(this.failedEndpoint);
 				}
+				else if (code == ErrorCode.NOT_HOME && this.held.grant().shares().size() == 1) {
+					Execution.this.rejectedAttempts++;
+					Execution.this.sent = this.sentBefore;
+				}
 			}
 
 			void release() {
--- a/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
+++ b/poplarloom-standin/src/main/java/org/poplarloom/standin/http/EngineStandIn.java
@@ -409,6 +409,16 @@
 		}
 	}
 
+	/**
+	 * Raises the highest fencing token, as a request of another home does.
+	 * @param token the token
+	 */
+	public void raiseFencingToken(long token) {
+		synchronized (this.engine) {
+			this.highestFencingToken = Math.max(this.highestFencingToken, token);
+		}
+	}
+
 	/**
 	 * Returns the reserved memory of the KV cache.
 	 * @return tokens
