Share the room of answer buffers among the next reads

Cause: 200 callers that do not read held 16.7 of 16.8 MB: each answer brought one read of up to 64 KB before it was paused, and what connections had taken and not sent did not count in the buffers. Change: a read brings at most the room left divided by the open answers, at least 2 KB; unsent bytes count in the same capacity. Only where slow readers are buffered.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -110,12 +110,13 @@
 		this.entries = new PublishedEntries(this.routing, Clock.steady());
 		this.node = new Node(settings, Ports.forRelay(this.entries, this.entries), this::newPlacement,
 				NodeRuntime.shared(settings, this.group));
-		HttpExchanger exchanger = new HttpExchanger(this.loop,
-				settings.load().buffersSlowReaders() ? BODY_STALL_MILLIS : HttpExchanger.NO_BODY_STALL_LIMIT);
-		CountingStore countedStore = new CountingStore(new StoreClient(this.loop, exchanger, platform.storeAddress()));
-		this.store = countedStore;
 		MemoryBudget memory = new MemoryBudget(settings.bodyBudgetBytes());
 		AnswerBuffers answerBuffers = answerBuffers(memory);
+		HttpExchanger exchanger = settings.load().buffersSlowReaders()
+				? new HttpExchanger(this.loop, BODY_STALL_MILLIS, answerBuffers::maxReadBytes)
+				: new HttpExchanger(this.loop);
+		CountingStore countedStore = new CountingStore(new StoreClient(this.loop, exchanger, platform.storeAddress()));
+		this.store = countedStore;
 		IncomingBodies incomingBodies = incomingBodies(memory);
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
 				memory, answerBuffers, incomingBodies,
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AnswerBuffers.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AnswerBuffers.java
@@ -19,9 +19,10 @@
  * goes on when its buffer is empty, so that a caller that keeps up never waits for
  * others; the rest go on in the order in which they were paused, one read each, as room
  * becomes available. The last part of the capacity is only for answers that their
- * endpoints have seen unread for some time. Buffers may exceed the capacity by what one
- * read of each answer brings; the memory budget limits that too. This class is not
- * thread-safe; the event loop guards it.
+ * endpoints have seen unread for some time. What the connections to callers have taken
+ * and not sent yet counts as well. The room is shared among the next reads of all
+ * answers, so the capacity is exceeded by at most the smallest read of each; the memory
+ * budget limits that too. This class is not thread-safe; the event loop guards it.
  */
 public final class AnswerBuffers {
 
@@ -37,6 +38,12 @@
 	/** The most that one read of a connection brings. */
 	static final int READ_BYTES = 64 * 1024;
 
+	/**
+	 * The least that one read brings while the buffers are full, so that callers that
+	 * keep up are served.
+	 */
+	static final int MIN_READ_BYTES = 2 * 1024;
+
 	/** A caller that leaves bytes unread for longer reads slowly. */
 	static final long SLOW_MILLIS = 1_000;
 
@@ -116,6 +123,18 @@
 		this.heldBytes += addedBytes;
 	}
 
+	/**
+	 * Returns the most that the next read of an answer may bring.
+	 * @return bytes
+	 */
+	public int maxReadBytes() {
+		if (this.open.isEmpty()) {
+			return READ_BYTES;
+		}
+		long room = (this.capacityBytes - this.heldBytes) / this.open.size();
+		return (int) Math.max(MIN_READ_BYTES, Math.min(READ_BYTES, room));
+	}
+
 	boolean mayRead(AnswerBuffer buffer) {
 		return buffer.sizeBytes() < this.maxBytesPerAnswer && this.heldBytes < pauseBytes();
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/CallerConnection.java
@@ -441,8 +441,11 @@
 
 	// The memory counts until the caller's side has taken the bytes.
 	private ChannelFuture writeHeld(HttpObject message, int bytes) {
-		return this.context.writeAndFlush(message)
-			.addListener((result) -> this.unwritten.tryResize(this.unwritten.sizeBytes() - bytes));
+		this.relay.answerBuffers().addHeld(bytes);
+		return this.context.writeAndFlush(message).addListener((result) -> {
+			this.relay.answerBuffers().addHeld(-bytes);
+			this.unwritten.tryResize(this.unwritten.sizeBytes() - bytes);
+		});
 	}
 
 	@Override
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/AnswerBufferTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/AnswerBufferTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -105,6 +106,23 @@
 		Assert.assertEquals(this.buffers.pausedCount(), 0);
 	}
 
+	/**
+	 * Guards against memory that grows by one whole read of each answer when many callers
+	 * that do not read start together.
+	 */
+	@Test
+	public void readsOfManyAnswersShareTheRoom() {
+		List<Answer> answers = answers(200);
+		for (int tick = 0; tick < 400; tick++) {
+			answers.forEach((answer) -> answer.readIfAllowed(this.buffers.maxReadBytes()));
+			this.nowMillis.addAndGet(AnswerBuffers.TURN_INTERVAL_MILLIS);
+			this.buffers.serveTurns();
+		}
+		long most = CAPACITY + 200L * ByteSegments.SEGMENT_BYTES;
+		Assert.assertTrue(this.buffers.heldBytes() <= most, this.buffers.heldBytes() + " bytes");
+		Assert.assertTrue(this.buffers.heldBytes() > CAPACITY / 2, this.buffers.heldBytes() + " bytes");
+	}
+
 	/** Guards against a quick caller that waits for room that slow ones hold. */
 	@Test
 	public void aQuickCallerGoesOnBesideFullBuffers() {
@@ -183,7 +201,11 @@
 		}
 
 		boolean readIfAllowed() {
-			return this.isRead && this.buffer.append(ONE_READ);
+			return readIfAllowed(READ);
+		}
+
+		boolean readIfAllowed(int bytes) {
+			return this.isRead && this.buffer.append(Arrays.copyOf(ONE_READ, bytes));
 		}
 
 	}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
@@ -34,6 +35,9 @@
 	/** An endpoint may take any time to read the body of a request. */
 	public static final long NO_BODY_STALL_LIMIT = Long.MAX_VALUE;
 
+	/** A read brings as much as Netty chooses. */
+	public static final IntSupplier NO_READ_LIMIT = () -> Integer.MAX_VALUE;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
 	/**
@@ -61,23 +65,28 @@
 
 	private final long bodyStallMillis;
 
+	private final IntSupplier maxReadBytes;
+
 	private long openedConnections;
 
 	private long connectionsWithUnexpectedData;
 
 	public HttpExchanger(EventLoop loop) {
-		this(loop, NO_BODY_STALL_LIMIT);
+		this(loop, NO_BODY_STALL_LIMIT, NO_READ_LIMIT);
 	}
 
 	/**
-	 * Creates a client that gives up endpoints that do not read.
+	 * Creates a client that gives up endpoints that do not read, and limits its reads.
 	 * @param loop the event loop
 	 * @param bodyStallMillis how long an endpoint may read nothing of a body before the
 	 * exchange fails, in milliseconds, or {@link #NO_BODY_STALL_LIMIT}
+	 * @param maxReadBytes supplies the most that the next read of a connection may bring,
+	 * in bytes, or {@link #NO_READ_LIMIT}
 	 */
-	public HttpExchanger(EventLoop loop, long bodyStallMillis) {
+	public HttpExchanger(EventLoop loop, long bodyStallMillis, IntSupplier maxReadBytes) {
 		this.loop = loop;
 		this.bodyStallMillis = bodyStallMillis;
+		this.maxReadBytes = maxReadBytes;
 		loop.scheduleWithFixedDelay(this::closeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -169,6 +178,9 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
+					if (HttpExchanger.this.maxReadBytes != NO_READ_LIMIT) {
+						channel.config().setRecvByteBufAllocator(new LimitedReads(HttpExchanger.this.maxReadBytes));
+					}
 					channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
 				}
 
