Tell the admission rules when a settle time ends early

Cause: after the early end of a settle time the estimated waits still counted its rest, up to 1 s, so requests could be refused; the end of the settle time was kept twice, and each tick of a home built a full summary to see whether its queue was empty. Change: AdmissionRules.startAt, ShardHome.isSettling and hasQueuedRequests. Measured: SharesRulesTests.settleTimeThatHasEndedEarlyDoesNotCountAsWait.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/AdmissionRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/AdmissionRules.java
@@ -20,6 +20,12 @@
 	 */
 	QueueOrder queue();
 
+	/**
+	 * Sets the time from which on requests are granted, if it is earlier than expected.
+	 * @param nowMillis the time in milliseconds
+	 */
+	void startAt(long nowMillis);
+
 	/**
 	 * Returns whether a request that has just arrived would be dispatched before all
 	 * queued ones that compete with it.
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/DeadlineRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/DeadlineRules.java
@@ -30,6 +30,11 @@
 		return this.queue;
 	}
 
+	@Override
+	public void startAt(long nowMillis) {
+		// Its estimates do not depend on the time of the start.
+	}
+
 	@Override
 	public boolean isFirst(GrantRequest request, long nowMillis) {
 		return this.queue.isFirst(request, nowMillis);
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/DrainRate.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/DrainRate.java
@@ -39,6 +39,10 @@
 		this.updatedMillis = startMillis;
 	}
 
+	void startAt(long nowMillis) {
+		this.updatedMillis = Math.min(this.updatedMillis, nowMillis);
+	}
+
 	/**
 	 * Counts the time since the last call.
 	 * @param isWaiting whether requests were waiting
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/Lane.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/Lane.java
@@ -64,6 +64,11 @@
 		this.lateRate = new DrainRate(startMillis);
 	}
 
+	void startAt(long nowMillis) {
+		this.drainRate.startAt(nowMillis);
+		this.lateRate.startAt(nowMillis);
+	}
+
 	String name() {
 		return this.name;
 	}
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesOrder.java
@@ -24,7 +24,7 @@
 
 	private final Capacity capacity;
 
-	private final long startMillis;
+	private long startMillis;
 
 	private final Map<String, ServiceLanes> services = new LinkedHashMap<>();
 
@@ -49,6 +49,15 @@
 		this.startMillis = startMillis;
 	}
 
+	/**
+	 * Sets the time from which on requests are granted, if it is earlier than expected.
+	 * @param nowMillis the time in milliseconds
+	 */
+	void startAt(long nowMillis) {
+		this.startMillis = Math.min(this.startMillis, nowMillis);
+		lanes().forEach((lane) -> lane.startAt(nowMillis));
+	}
+
 	@Override
 	public void add(InstanceId holder, GrantRequest request, long nowMillis) {
 		add(holder, request, Long.MAX_VALUE, nowMillis);
--- a/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/admission/SharesRules.java
@@ -68,6 +68,11 @@
 		return this.queue;
 	}
 
+	@Override
+	public void startAt(long nowMillis) {
+		this.queue.startAt(nowMillis);
+	}
+
 	// A request that is already queued has used its promise.
 	private long promisedRank(GrantRequest request, long nowMillis) {
 		if (this.queue.find(request.key()) != null) {
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/GrantDispatcher.java
@@ -72,6 +72,7 @@
 
 	void endSettleTime(long nowMillis) {
 		this.settleEndMillis = nowMillis;
+		this.rules.startAt(nowMillis);
 	}
 
 	/**
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/ShardHome.java
@@ -265,6 +265,23 @@
 		return dispatchQueued(nowMillis);
 	}
 
+	/**
+	 * Returns whether holders may still announce grants of a previous home.
+	 * @param nowMillis the time in milliseconds since the epoch
+	 * @return true during the settle time
+	 */
+	public synchronized boolean isSettling(long nowMillis) {
+		return this.dispatcher.isSettling(nowMillis);
+	}
+
+	/**
+	 * Returns whether a request waits in the queue.
+	 * @return true if the queue is not empty
+	 */
+	public synchronized boolean hasQueuedRequests() {
+		return this.queue.size() > 0;
+	}
+
 	/**
 	 * Records that a request has produced its first token.
 	 * @param key the identity of the grant; an unknown one is ignored
--- a/poplarloom-core/src/test/java/org/poplarloom/core/admission/SharesRulesTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/admission/SharesRulesTests.java
@@ -105,6 +105,19 @@
 		Assert.assertEquals(order(fair, TARGET_MILLIS + 1), List.of("new", "late"));
 	}
 
+	/**
+	 * Guards against requests that are refused since their wait counts a settle time that
+	 * has ended early.
+	 */
+	@Test
+	public void settleTimeThatHasEndedEarlyDoesNotCountAsWait() {
+		SharesRules fair = new SharesRules(new OneEngine(), TIMEOUT_MILLIS);
+		GrantRequest request = request("a", "a", 0, 5, 0, TIMEOUT_MILLIS);
+		Assert.assertTrue(fair.waitMillis(request, 10) >= TIMEOUT_MILLIS - 10);
+		fair.startAt(10);
+		Assert.assertTrue(fair.waitMillis(request, 10) < 1);
+	}
+
 	@Test
 	public void repeatedRequestKeepsItsPlaceAndItsTeamsTime() {
 		SharesRules fair = rules();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -199,10 +199,9 @@
 		Home existing = this.homes.get(shard);
 		if (isHome && existing == null && this.mayTakeOver) {
 			logger.info("taking over shard {}", shard);
-			long settleEndMillis = now + this.settings.settleMillis();
-			ShardHome home = newHome(settleEndMillis);
+			ShardHome home = newHome(now + this.settings.settleMillis());
 			home.setOut(this.activeConfiguration.state().isZoneOut(shard.zone()), now);
-			this.homes.put(shard, new Home(home, settleEndMillis));
+			this.homes.put(shard, new Home(home));
 			// A home grants nothing before the first reports of its endpoints.
 			poll().subscribe();
 		}
@@ -231,9 +230,8 @@
 
 	private void endSettleTimes(long now) {
 		this.homes.forEach((shard, home) -> {
-			if (home.isSettling(now) && this.jointStart.isFirstHome(shard, this.instances.listedIds())) {
-				logger.info("event=settled_early shard={} remaining_ms={}", shard, home.settleEndMillis() - now);
-				home.endSettleTime(now);
+			if (home.shardHome().isSettling(now) && this.jointStart.isFirstHome(shard, this.instances.listedIds())) {
+				logger.info("event=settled_early shard={}", shard);
 				sendDecisions(home.shardHome().endSettleTime(now));
 			}
 		});
@@ -245,7 +243,7 @@
 	 */
 	boolean isSettling() {
 		long now = this.clock.nowMillis();
-		return this.homes.values().stream().anyMatch((home) -> home.isSettling(now));
+		return this.homes.values().stream().anyMatch((home) -> home.shardHome().isSettling(now));
 	}
 
 	/**
@@ -506,9 +504,8 @@
 	 * @return true if a queue is not empty
 	 */
 	public boolean hasQueuedRequests() {
-		long now = this.clock.nowMillis();
 		return hasPendingReplies()
-				|| this.homes.values().stream().anyMatch((home) -> home.shardHome().summary(now).queued() > 0);
+				|| this.homes.values().stream().anyMatch((home) -> home.shardHome().hasQueuedRequests());
 	}
 
 	/**
@@ -536,23 +533,8 @@
 
 		private volatile boolean reported;
 
-		private volatile long settleEndMillis;
-
-		Home(ShardHome shardHome, long settleEndMillis) {
+		Home(ShardHome shardHome) {
 			this.shardHome = shardHome;
-			this.settleEndMillis = settleEndMillis;
-		}
-
-		boolean isSettling(long nowMillis) {
-			return nowMillis < this.settleEndMillis;
-		}
-
-		long settleEndMillis() {
-			return this.settleEndMillis;
-		}
-
-		void endSettleTime(long nowMillis) {
-			this.settleEndMillis = nowMillis;
 		}
 
 		ShardHome shardHome() {
