Let short prompts wait for a slot instead of starting late behind a long prefill

Cause: while all engines were full or prefilled long prompts, EvenPlacement placed a short prompt at once on the engine with the least delay, also if that was too long.

Change: a short prompt that no endpoint starts in time now, but an idle one still could, stays in the queue of the home. Once none could any more, it is placed as before. CostPlacement decides as before.

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CostPlacement.java
@@ -175,6 +175,14 @@
 		return delayMillis <= budgetMillis(request, nowMillis);
 	}
 
+	// Whether an endpoint would still start the prompt in time if it were idle.
+	static boolean mayStartWithinTarget(GrantRequest request, List<EndpointAllocations> endpoints, long nowMillis) {
+		double budgetMillis = budgetMillis(request, nowMillis);
+		return endpoints.stream()
+			.anyMatch((endpoint) -> endpoint.isEligible(request)
+					&& endpoint.prefillMillis(request.promptTokens()) <= budgetMillis);
+	}
+
 	private static EndpointAllocations packed(List<EndpointAllocations> candidates, long nowMillis) {
 		return candidates.stream()
 			.filter((endpoint) -> !endpoint.coldLimit().isCold(nowMillis))
--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/EvenPlacement.java
@@ -18,9 +18,10 @@
  * pause limit. Otherwise it goes to any of those with the most running requests that
  * start it in time, so that as many endpoints stay free for long prompts as with
  * {@link CostPlacement}, but not always the same ones. Calls of plain services go to the
- * endpoint with the fewest running requests. Equal endpoints are chosen at random. While
- * it is not active, all decisions are those of {@link CostPlacement}. An object serves
- * one home, whose lock guards its state.
+ * endpoint with the fewest running requests. Equal endpoints are chosen at random. A
+ * short prompt that no endpoint starts in time now waits until one does, or until none
+ * can any more. While it is not active, all decisions are those of {@link CostPlacement}.
+ * An object serves one home, whose lock guards its state.
  */
 public final class EvenPlacement implements PlacementPolicy {
 
@@ -61,8 +62,18 @@
 			return this.costPlacement.place(request, endpoints, load, nowMillis);
 		}
 		List<Share> withinTarget = placeEvenly(request, candidates, nowMillis);
-		return !withinTarget.isEmpty() ? withinTarget
-				: CostPlacement.onOneEndpoint(request, anyBest(candidates, CostPlacement.leastDelay(nowMillis)));
+		return !withinTarget.isEmpty() ? withinTarget : placeOrWait(request, candidates, endpoints, nowMillis);
+	}
+
+	// While all endpoints are full or prefill long prompts, a slot becomes free every few
+	// dozen milliseconds. A prompt that could still be on time there waits for it, since
+	// behind a long prefill it would be late.
+	private List<Share> placeOrWait(GrantRequest request, List<EndpointAllocations> candidates,
+			List<EndpointAllocations> endpoints, long nowMillis) {
+		EndpointAllocations best = anyBest(candidates, CostPlacement.leastDelay(nowMillis));
+		boolean isWaiting = !CostPlacement.startsWithinTarget(request, best, nowMillis)
+				&& CostPlacement.mayStartWithinTarget(request, endpoints, nowMillis);
+		return isWaiting ? List.of() : CostPlacement.onOneEndpoint(request, best);
 	}
 
 	@Override
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/EvenPlacementTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/EvenPlacementTests.java
@@ -22,6 +22,7 @@
 import org.poplarloom.core.request.Grant;
 import org.poplarloom.core.request.GrantDecision;
 import org.poplarloom.core.request.GrantRequest;
+import org.poplarloom.core.request.LatencyTarget;
 
 /**
  * Compares {@link EvenPlacement} with {@link CostPlacement} under the same load.
@@ -108,6 +109,52 @@
 
 	}
 
+	/**
+	 * Load pattern: one engine full of short prompts, the other with a long prefill.
+	 */
+	public static class FullEngineBesideLongPrefill {
+
+		private static final InstanceId HOLDER = InstanceId.of("edge");
+
+		private final ShardHome home = ShardHome.of(even(1), new ColdStartRamp.Settings(2, 1, 1), 0);
+
+		private GrantDecision request(String id, long promptTokens, long targetMillis, long nowMillis) {
+			LatencyTarget target = new LatencyTarget(targetMillis, 15_000, 250);
+			return this.home.request(HOLDER, new GrantRequest(id, 1, TeamId.of("team"), "model", promptTokens, 100, 0,
+					60_000, false, Set.of(), target, null), true, nowMillis);
+		}
+
+		// Guards against short prompts that start seconds late behind a long prefill,
+		// although a slot becomes free in time.
+		@Test
+		public void aShortPromptWaitsForASlotWhileItCanBeOnTime() {
+			this.home.observe(List.of(engine("e0"), engine("e1")), Set.of(), 1);
+			EndpointId busy = endpoint(request("long", 150_000, 8_000, 100));
+			EndpointId full = endpoint(request("short1", 4_960, 363, 100));
+			Assert.assertNotEquals(full, busy);
+			Assert.assertEquals(endpoint(request("short2", 4_960, 363, 100)), full);
+			Assert.assertTrue(request("short3", 4_960, 363, 100) instanceof GrantDecision.Queued);
+			Assert.assertTrue(request("short4", 4_960, 363, 100) instanceof GrantDecision.Queued);
+			Assert.assertEquals(this.home.tick(200), List.of());
+			List<HomeDecision> decisions = this.home.release(Grant.key("short1", 1), 220);
+			Assert.assertEquals(decisions.size(), 1);
+			Assert.assertEquals(endpoint(decisions.get(0).decision()), full);
+			List<HomeDecision> late = this.home.tick(350);
+			Assert.assertEquals(late.size(), 1, "it no longer waits once it is late in any case");
+			Assert.assertEquals(endpoint(late.get(0).decision()), busy);
+		}
+
+		private static EndpointReport engine(String id) {
+			return new EndpointReport(EndpointId.of(id), "boot", false, Set.of("model"), 2, 315_000, 177_000, 0,
+					3_600_000, Set.of(), 1, ZONE_P.engine());
+		}
+
+		private static EndpointId endpoint(GrantDecision decision) {
+			return ((GrantDecision.Granted) decision).grant().answeringEndpoint();
+		}
+
+	}
+
 	/**
 	 * Load pattern: calls of a plain service.
 	 */
