End settle times early only where load is spread

Cause: the early end of a settle time applied to every deployment, though new behaviour is to take effect only where settings call for it.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/LocalHomes.java
@@ -214,8 +214,11 @@
 	}
 
 	private boolean learnsSpeeds(long now) {
-		return this.settings.load().learnsEndpointSpeeds()
-				&& this.membership.live(this.settings.zone(), now).size() >= this.settings.load().spreadMinInstances();
+		return this.settings.load().learnsEndpointSpeeds() && isLargeZone(now);
+	}
+
+	private boolean isLargeZone(long now) {
+		return this.membership.live(this.settings.zone(), now).size() >= this.settings.load().spreadMinInstances();
 	}
 
 	private ShardHome newHome(long settleEndMillis) {
@@ -229,6 +232,9 @@
 	}
 
 	private void endSettleTimes(long now) {
+		if (!this.settings.load().isSpread() || !isSettling() || !isLargeZone(now)) {
+			return;
+		}
 		this.homes.forEach((shard, home) -> {
 			if (home.shardHome().isSettling(now) && this.jointStart.isFirstHome(shard, this.instances.listedIds())) {
 				logger.info("event=settled_early shard={}", shard);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/IncomingBodies.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/IncomingBodies.java
@@ -20,6 +20,8 @@
 
 	private static final int BUDGET_DIVISOR = 4;
 
+	private static final long UNLIMITED = Long.MAX_VALUE;
+
 	private final long capacityBytes;
 
 	private final LongSupplier nowMillis;
@@ -50,7 +52,7 @@
 	 * @return the bodies
 	 */
 	public static IncomingBodies unlimited() {
-		return new IncomingBodies(Long.MAX_VALUE, () -> 0);
+		return new IncomingBodies(UNLIMITED, () -> 0);
 	}
 
 	/**
@@ -60,6 +62,9 @@
 	 * @param bytes the memory that it holds now, in bytes
 	 */
 	void record(Runnable giveUp, long bytes) {
+		if (this.capacityBytes == UNLIMITED) {
+			return;
+		}
 		long now = this.nowMillis.getAsLong();
 		Body body = this.bodies.computeIfAbsent(giveUp, (key) -> new Body(now));
 		this.heldBytes += bytes - body.bytes;
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -392,7 +392,10 @@
 	// The answering endpoint also refuses the request if a helper cannot be reached.
 	private void failNotExecuted() {
 		String nameOrAddress = this.run.service().protocol().faultyEndpoint(this.head);
-		EndpointId faulty = this.endpoints.findHelper(nameOrAddress);
+		failNotExecuted(nameOrAddress, this.endpoints.findHelper(nameOrAddress));
+	}
+
+	private void failNotExecuted(String nameOrAddress, EndpointId faulty) {
 		fail(AttemptFailure.notExecuted(
 				"not executed, status " + this.head.status().code() + " by '" + nameOrAddress + "'", faulty), faulty);
 	}
@@ -401,8 +404,9 @@
 	// endpoint also passes on that a helper is another one.
 	private void failMisdirected() {
 		String nameOrAddress = this.run.service().protocol().faultyEndpoint(this.head);
-		if (this.endpoints.findHelper(nameOrAddress) != null) {
-			failNotExecuted();
+		EndpointId helper = this.endpoints.findHelper(nameOrAddress);
+		if (helper != null) {
+			failNotExecuted(nameOrAddress, helper);
 			return;
 		}
 		fail(AttemptFailure.notReceived("another endpoint is at the address, status " + this.head.status().code()),
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/HomeSettleTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/HomeSettleTests.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.poplarloom.entry.Settings;
 import org.poplarloom.platform.Tables;
 import org.poplarloom.platform.standin.WorkerStandIn;
 
@@ -87,8 +88,21 @@
 		assertWaits(fleet, home);
 	}
 
+	/**
+	 * Guards against a change for deployments that do not ask for it.
+	 */
+	@Test
+	public void homesWaitUnlessLoadIsSpread() {
+		SimulatedFleet fleet = fleet(5, Settings.Load.DEFAULT);
+		assertWaits(fleet, startUntilHome(fleet, "norte-a", List.of()));
+	}
+
 	private static SimulatedFleet fleet(long seed) {
-		SimulatedFleet fleet = new SimulatedFleet(seed);
+		return fleet(seed, new Settings.Load(false, true, 1, false, false));
+	}
+
+	private static SimulatedFleet fleet(long seed, Settings.Load load) {
+		SimulatedFleet fleet = new SimulatedFleet(seed, load);
 		for (String zone : ZONES) {
 			fleet.put(Tables.WORKERS, "i-" + zone, WorkerStandIn.entry("model", zone, "ready", "10.1.0.1:80"));
 		}
