Read and construct records of messages by reflection

Cause: a start of the relaying daemon defined 173 classes for method handles, most for the constructors and accessors of message records, and linking call sites took a tenth of the samples of a start in a zone of 30 instances. Change: RecordCodec uses Method and Constructor. The tests of poplarloom-wire pass.

--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
@@ -1,10 +1,9 @@
 package org.poplarloom.wire.message;
 
 import java.io.IOException;
-import java.lang.invoke.MethodHandle;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.MethodType;
 import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
@@ -39,10 +38,6 @@
 
 	private static final int MAX_NESTING = 16;
 
-	private static final MethodType ACCESSOR_TYPE = MethodType.methodType(Object.class, Object.class);
-
-	private static final MethodType CONSTRUCTOR_TYPE = MethodType.methodType(Object.class, Object[].class);
-
 	private static final Map<Class<?>, RecordLayout> LAYOUTS = new ConcurrentHashMap<>();
 
 	private RecordCodec() {
@@ -201,10 +196,10 @@
 
 	/**
 	 * The component types, the accessors and the canonical constructor of a record type.
-	 * {@code isSingleValue} is true if its only component is named {@code value}.
+	 * {@code isSingleValue} is true if its only component is named {@code value}. Method
+	 * handles would define some hundred classes at each start.
 	 */
-	private record RecordLayout(Type[] types, MethodHandle[] accessors, MethodHandle constructor,
-			boolean isSingleValue) {
+	private record RecordLayout(Type[] types, Method[] accessors, Constructor<?> constructor, boolean isSingleValue) {
 
 		static RecordLayout of(Class<?> type) {
 			if (!type.isRecord()) {
@@ -213,22 +208,16 @@
 			RecordComponent[] components = type.getRecordComponents();
 			Type[] types = new Type[components.length];
 			Class<?>[] rawTypes = new Class<?>[components.length];
-			MethodHandle[] accessors = new MethodHandle[components.length];
+			Method[] accessors = new Method[components.length];
 			try {
 				for (int i = 0; i < components.length; i++) {
 					types[i] = components[i].getGenericType();
 					rawTypes[i] = components[i].getType();
-					accessors[i] = MethodHandles.publicLookup()
-						.unreflect(components[i].getAccessor())
-						.asType(ACCESSOR_TYPE);
+					accessors[i] = components[i].getAccessor();
 				}
 				Constructor<?> constructor = type.getConstructor(rawTypes);
 				boolean isSingleValue = components.length == 1 && components[0].getName().equals("value");
-				MethodHandle arrayConstructor = MethodHandles.publicLookup()
-					.unreflectConstructor(constructor)
-					.asSpreader(Object[].class, components.length)
-					.asType(CONSTRUCTOR_TYPE);
-				return new RecordLayout(types, accessors, arrayConstructor, isSingleValue);
+				return new RecordLayout(types, accessors, constructor, isSingleValue);
 			}
 			catch (ReflectiveOperationException ex) {
 				throw new IllegalArgumentException(
@@ -238,9 +227,9 @@
 
 		Object readComponent(Object instance, int index) {
 			try {
-				return (Object) this.accessors[index].invokeExact(instance);
+				return this.accessors[index].invoke(instance);
 			}
-			catch (Throwable ex) {
+			catch (ReflectiveOperationException ex) {
 				throw new IllegalStateException(
 						"cannot read component " + index + " of " + instance.getClass().getName(), ex);
 			}
@@ -248,12 +237,13 @@
 
 		Object create(Object[] values) {
 			try {
-				return (Object) this.constructor.invokeExact(values);
+				return this.constructor.newInstance(values);
 			}
-			catch (PoplarloomException ex) {
-				throw badFrame(ex.getMessage());
+			catch (InvocationTargetException ex) {
+				throw badFrame((ex.getCause() instanceof PoplarloomException cause) ? cause.getMessage()
+						: "record cannot be constructed: " + ex.getCause().getMessage());
 			}
-			catch (Throwable ex) {
+			catch (ReflectiveOperationException | IllegalArgumentException ex) {
 				throw badFrame("record cannot be constructed: " + ex.getMessage());
 			}
 		}
