--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -41,6 +41,12 @@
 
 	private final Map<String, AtomicInteger> answers = new ConcurrentHashMap<>();
 
+	/** When each request was sent. */
+	private final Map<String, Double> sentSeconds = new ConcurrentHashMap<>();
+
+	/** When a machine first passed on that a worker leaves, by the prefix of its requests. */
+	private final Map<String, Double> noticeSeconds = new ConcurrentHashMap<>();
+
 	private volatile boolean stopping;
 
 	private Deployment(Record record) throws IOException {
@@ -97,15 +103,34 @@
 		Random random = new Random(prefix.hashCode());
 		for (int i = 0; !this.stopping; i++) {
 			String id = prefix + "." + i;
+			this.sentSeconds.put(id, this.record.seconds());
 			this.record.write("%s is sent %s", daemon.name(), id);
-			String answer = exchange(daemon.callerAddress(), id).lines().findFirst().orElse("");
+			String answer = exchange(daemon.callerAddress(), id);
 			String status = answer.isEmpty() ? "none" : answer.split(" ")[1];
-			this.record.write("%s is answered %s", id, status);
+			boolean isNotice = answer.contains("Server-Leaving: 1");
+			this.record.write("%s is answered %s%s", id, status, isNotice ? ", Server-Leaving" : "");
+			if (isNotice && this.noticeSeconds.putIfAbsent(machineOf(id), this.record.seconds()) == null) {
+				this.record.write("%s has passed on for the first time that the worker leaves", daemon.name());
+			}
 			this.answers.computeIfAbsent(status, (key) -> new AtomicInteger()).incrementAndGet();
 			Worker.pause(50 + random.nextInt(50));
 		}
 	}
 
+	private static String machineOf(String id) {
+		return id.substring(0, id.indexOf('.'));
+	}
+
+	/**
+	 * Returns whether a client sent a request to a machine so long after that machine had
+	 * passed on that the worker leaves.
+	 */
+	boolean isSentAfterNotice(String id, double seconds) {
+		Double sent = this.sentSeconds.get(id);
+		Double notice = (sent != null) ? this.noticeSeconds.get(machineOf(id)) : null;
+		return notice != null && sent > notice + seconds;
+	}
+
 	private static String exchange(String address, String id) {
 		try (CallerStandIn caller = new CallerStandIn(address)) {
 			caller.send("POST /once/x", id, "Connection: close\r\nDeadline-Ms: 2500\r\n", "{}");
