--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -39,9 +40,10 @@
  * <p>
  * Nodes, membership, gossip and tables are the real ones; only the connections and the
  * store are replaced. Zones can be silenced, answers of the store and notices can be
- * lost, and the store can be silent towards all or some instances or refuse the calls of
- * some. Instances can be killed, frozen, restarted and cut off from each other. The same
- * seed gives the same run. This class is not thread-safe.
+ * lost, writes can be carried out late, and the store can be silent towards all or some
+ * instances or refuse the calls of some. Instances can be killed, frozen, restarted and
+ * cut off from each other. The same seed gives the same run. This class is not
+ * thread-safe.
  */
 final class SimulatedFleet {
 
@@ -259,6 +261,17 @@
 		return offset;
 	}
 
+	/**
+	 * Writes a record whose writer got no answer and may have written again since.
+	 * @param table the table
+	 * @param key the key
+	 * @param value the value, empty for a tombstone
+	 * @param delayMillis after how long the store carries the write out, in milliseconds
+	 */
+	void putLate(String table, String key, String value, long delayMillis) {
+		schedule(() -> put(table, key, value), delayMillis);
+	}
+
 	/**
 	 * Advances the time.
 	 * @param millis by how much
@@ -305,6 +318,14 @@
 		return new KeyedTablePort.Page(TablePosition.of(this.era, records.size()), false, found);
 	}
 
+	private KeyedTablePort.Page newestPage(String table) {
+		KeyedTablePort.Page all = page(table, 0);
+		Map<String, KeyedTablePort.Entry> newest = new LinkedHashMap<>();
+		all.records().forEach((record) -> newest.put(record.key(), record));
+		newest.values().removeIf(KeyedTablePort.Entry::isTombstone);
+		return new KeyedTablePort.Page(all.next(), false, List.copyOf(newest.values()));
+	}
+
 	private <T> void answerLater(Instance caller, CompletableFuture<T> result, T answer) {
 		boolean isLost = this.random.nextDouble() < this.lostAnswerRatio || this.storeSilent;
 		int outagesBefore = this.outages;
@@ -570,7 +591,7 @@
 		@Override
 		public CompletableFuture<Page> readNewest(String table) {
 			CompletableFuture<Page> result = newCall(this, "read newest " + table, 0);
-			answerLater(this, result, page(table, 0));
+			answerLater(this, result, newestPage(table));
 			return result;
 		}
 
