--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -112,9 +112,9 @@
 	}
 
 	private void log(EndpointEntry entry) {
-		logger.info("endpoint={} event={} service={} service_known={} zone={} address={} lifetime={}", entry.endpoint(),
-				entry.isDraining() ? "leaving" : "listed", entry.service(), isServiceKnown(entry), entry.zone(),
-				entry.address(), entry.lifetime());
+		logger.info("endpoint={} event={} service={} service_known={} zone={} address={} lifetime={} sequence={}",
+				entry.endpoint(), entry.isDraining() ? "leaving" : "listed", entry.service(), isServiceKnown(entry),
+				entry.zone(), entry.address(), entry.lifetime(), entry.sequence());
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayTables.java
@@ -286,6 +286,10 @@
 			logger.info("event=configuration version={} position={} age_ms={}", next.version(), entry.position(),
 					operatorsAgeMillis());
 		}
+		else {
+			logger.info("event=outdated_configuration version={} position={} active={}", next.version(),
+					entry.position(), this.routing.version());
+		}
 	}
 
 	private RoutingTable readConfiguration(KeyedTablePort.Entry entry, Findings findings) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/version/ActiveRouting.java
@@ -38,6 +38,15 @@
 		return isNewer;
 	}
 
+	/**
+	 * Returns the version in force.
+	 * @return the version, 0 if none was received yet
+	 */
+	public long version() {
+		RoutingTable current = this.table;
+		return (current != null) ? current.version() : 0;
+	}
+
 	/**
 	 * Returns the table in force.
 	 * @return the table, or empty if none was received yet
