Count crashes at the same moment of a request that was never served

Cause: crashes within 150 ms counted as one, since an outage ends many endpoints at once. Class: a rule made for one kind of cause, parts that many requests share, applied to another.

Change: a request whose like was never served, and which is there unchanged at three crashes, is found however close they are. What was served once, and parts of prompts, still need crashes apart from each other.

Evidence: CrashAttributionTests.countsCrashesInQuickSuccessionOfARequestThatWasNeverServed fails without the change (nothing is found).

--- a/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
+++ b/poplarloom-core/src/main/java/org/poplarloom/core/process/CrashAttribution.java
@@ -20,9 +20,10 @@
  * ({@link HarmCriterion}). Crashes that a found cause explains are no evidence against
  * others, except that those of a request count against the parts of its prompt once other
  * requests with the part crash endpoints too. Crashes in quick succession count once,
- * because one outage can end many endpoints. A connection that was opened after a crash
- * belongs to a later process, also if the endpoint's entry does not show it yet. This
- * class is thread-safe; one lock guards its tables.
+ * because one outage can end many endpoints, unless the cause is a request that was never
+ * served well. A connection that was opened after a crash belongs to a later process,
+ * also if the endpoint's entry does not show it yet. This class is thread-safe; one lock
+ * guards its tables.
  */
 public final class CrashAttribution {
 
@@ -155,8 +156,7 @@
 	public synchronized List<String> suspects(long nowMillis) {
 		List<String> suspects = new ArrayList<>();
 		this.evidenceByCause.forEach((cause, evidence) -> {
-			if (evidence.crashes() >= MIN_CRASHES && evidence.separateCrashes() >= MIN_CRASHES
-					&& evidence.unexplainedCrashes() >= MIN_UNEXPLAINED_CRASHES
+			if (evidence.countedCrashes() >= MIN_CRASHES && evidence.unexplainedCrashes() >= MIN_UNEXPLAINED_CRASHES
 					&& evidence.ageMillis(nowMillis) >= MIN_OBSERVATION_MILLIS) {
 				suspects.add(cause);
 			}
@@ -196,7 +196,7 @@
 	}
 
 	private boolean isCause(String suspect, Evidence evidence, long nowMillis) {
-		int crashes = evidence.separateCrashes();
+		int crashes = evidence.countedCrashes();
 		int required = Math.max(MIN_CRASHES, HarmCriterion.requiredCrashes(evidence.served));
 		if (crashes < required) {
 			return false;
@@ -363,8 +363,10 @@
 			return nowMillis - this.millisByCrash.values().stream().mapToLong(Long::longValue).min().orElse(nowMillis);
 		}
 
-		int separateCrashes() {
-			return CrashRegistry.Occurrence.countSeparate(occurrences());
+		// Only a request that comes again unchanged is at several endpoints at once.
+		int countedCrashes() {
+			return (this.isRequest && this.served == 0) ? crashes()
+					: CrashRegistry.Occurrence.countSeparate(occurrences());
 		}
 
 		Verdict verdict(long nowMillis) {
--- a/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
+++ b/poplarloom-core/src/test/java/org/poplarloom/core/process/CrashAttributionTests.java
@@ -93,6 +93,27 @@
 		Assert.assertEquals(this.attribution.decide(5_000), List.of());
 	}
 
+	/**
+	 * Guards against a request that three instances send at once and whose crashes count
+	 * as one.
+	 */
+	@Test
+	public void countsCrashesInQuickSuccessionOfARequestThatWasNeverServed() {
+		for (int i = 0; i < 3; i++) {
+			crashWith("bad", 10 * i, "shared");
+		}
+		Assert.assertEquals(this.attribution.decide(800), List.of("bad"));
+	}
+
+	@Test
+	public void takesCrashesInQuickSuccessionForOneIfTheRequestWasServed() {
+		for (int i = 0; i < 6; i++) {
+			crashWith("lookup", 10 * i);
+		}
+		this.attribution.recordServed("lookup", 1);
+		Assert.assertEquals(this.attribution.decide(5_000), List.of());
+	}
+
 	@Test
 	public void doesNotBlameARequestThatIsRepeatedAmongCrashesOfAHarmfulPart() {
 		crash(0, "bad");
