Show that an instance that cannot reach the endpoints serves nobody

The link of one instance to the endpoints can be cut in tests: silent, reset, or refused for new connections only.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -35,6 +35,7 @@
 import org.poplarloom.platform.WorkerFormat;
 import org.poplarloom.port.InstanceListPort.ListedInstance;
 import org.poplarloom.port.KeyedTablePort;
+import org.poplarloom.port.http.Connector;
 import org.poplarloom.port.http.HttpExchanger;
 
 /**
@@ -104,7 +105,7 @@
 
 	private volatile boolean stopping;
 
-	private RelayDaemon(PlatformSettings platform, Settings settings) {
+	private RelayDaemon(PlatformSettings platform, Settings settings, Connector connector) {
 		this.platform = platform;
 		this.settings = settings;
 		this.entries = new PublishedEntries(this.routing, Clock.steady());
@@ -113,8 +114,8 @@
 		MemoryBudget memory = new MemoryBudget(settings.bodyBudgetBytes());
 		AnswerBuffers answerBuffers = answerBuffers(memory);
 		HttpExchanger exchanger = settings.load().buffersSlowReaders()
-				? new HttpExchanger(this.loop, BODY_STALL_MILLIS, answerBuffers::maxReadBytes)
-				: new HttpExchanger(this.loop);
+				? new HttpExchanger(this.loop, connector, BODY_STALL_MILLIS, answerBuffers::maxReadBytes)
+				: new HttpExchanger(this.loop, connector);
 		CountingStore countedStore = new CountingStore(new StoreClient(this.loop, exchanger, platform.storeAddress()));
 		this.store = countedStore;
 		IncomingBodies incomingBodies = incomingBodies(memory);
@@ -165,7 +166,18 @@
 	 * @return the instance
 	 */
 	public static RelayDaemon start(PlatformSettings platform, Settings settings) {
-		RelayDaemon daemon = new RelayDaemon(platform, settings);
+		return start(platform, settings, Connector.DIRECT);
+	}
+
+	/**
+	 * Starts an instance.
+	 * @param platform the settings that the platform gives
+	 * @param settings the settings of the node that are derived from them
+	 * @param connector opens the connections to endpoints and to the platform
+	 * @return the instance
+	 */
+	public static RelayDaemon start(PlatformSettings platform, Settings settings, Connector connector) {
+		RelayDaemon daemon = new RelayDaemon(platform, settings, connector);
 		daemon.start();
 		return daemon;
 	}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayFixture.java
@@ -25,6 +25,7 @@
 import org.poplarloom.platform.standin.CallerStandIn;
 import org.poplarloom.platform.standin.StoreStandIn;
 import org.poplarloom.platform.standin.WorkerStandIn;
+import org.poplarloom.port.http.Connector;
 
 /**
  * Starts one instance with stand-ins for callers, endpoints and the platform's store.
@@ -68,12 +69,31 @@
 	 * @return the instance, in the zone of the others
 	 */
 	RelayDaemon newDaemon(String name) {
-		PlatformSettings platform = new PlatformSettings(name, "norte-a", "127.0.0.1", ANY_PORT, ANY_PORT, 0,
+		return newDaemon(name, "norte-a");
+	}
+
+	/**
+	 * Starts an instance, which the test closes.
+	 * @param name its name
+	 * @param zone its zone
+	 * @return the instance
+	 */
+	RelayDaemon newDaemon(String name, String zone) {
+		PlatformSettings platform = new PlatformSettings(name, zone, "127.0.0.1", ANY_PORT, ANY_PORT, 0,
 				this.store.address(), List.of(), graceMillis(), 0.2, 20, 0, false);
-		Settings settings = new Settings(InstanceId.of(name), AvailabilityZone.of("norte-a"), "127.0.0.1", 0, 0,
+		Settings settings = new Settings(InstanceId.of(name), AvailabilityZone.of(zone), "127.0.0.1", 0, 0,
 				this.store.address(), "", "0123456789abcdef", "", 1, 1_600, 1, new ColdStartRamp.Settings(4, 1, 1),
 				memoryBytes(), 2_000, OwnerKey.none(), "none", 0, Settings.TableReaders.ALL, load());
-		return RelayDaemon.start(platform, settings);
+		return RelayDaemon.start(platform, settings, connector(name));
+	}
+
+	/**
+	 * Returns what opens the connections of an instance.
+	 * @param name the name of the instance
+	 * @return the connector
+	 */
+	Connector connector(String name) {
+		return Connector.DIRECT;
 	}
 
 	/**
@@ -163,7 +183,11 @@
 	}
 
 	String exchange(String methodAndPath, String id, String headers, String body) {
-		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+		return exchange(this.callerAddress, methodAndPath, id, headers, body);
+	}
+
+	static String exchange(String address, String methodAndPath, String id, String headers, String body) {
+		try (CallerStandIn caller = new CallerStandIn(address)) {
 			caller.send(methodAndPath, id, "Connection: close\r\n" + headers, body);
 			return caller.readAll();
 		}
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -67,24 +67,37 @@
 
 	private final IntSupplier maxReadBytes;
 
+	private final Connector connector;
+
 	private long openedConnections;
 
 	private long connectionsWithUnexpectedData;
 
 	public HttpExchanger(EventLoop loop) {
-		this(loop, NO_BODY_STALL_LIMIT, NO_READ_LIMIT);
+		this(loop, Connector.DIRECT);
+	}
+
+	/**
+	 * Creates a client without limits.
+	 * @param loop the event loop
+	 * @param connector opens the connections
+	 */
+	public HttpExchanger(EventLoop loop, Connector connector) {
+		this(loop, connector, NO_BODY_STALL_LIMIT, NO_READ_LIMIT);
 	}
 
 	/**
 	 * Creates a client that gives up endpoints that do not read, and limits its reads.
 	 * @param loop the event loop
+	 * @param connector opens the connections
 	 * @param bodyStallMillis how long an endpoint may read nothing of a body before the
 	 * exchange fails, in milliseconds, or {@link #NO_BODY_STALL_LIMIT}
 	 * @param maxReadBytes supplies the most that the next read of a connection may bring,
 	 * in bytes, or {@link #NO_READ_LIMIT}
 	 */
-	public HttpExchanger(EventLoop loop, long bodyStallMillis, IntSupplier maxReadBytes) {
+	public HttpExchanger(EventLoop loop, Connector connector, long bodyStallMillis, IntSupplier maxReadBytes) {
 		this.loop = loop;
+		this.connector = connector;
 		this.bodyStallMillis = bodyStallMillis;
 		this.maxReadBytes = maxReadBytes;
 		loop.scheduleWithFixedDelay(this::closeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
@@ -170,7 +183,7 @@
 			return exchange;
 		}
 		this.openedConnections++;
-		new Bootstrap().group(this.loop)
+		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -184,13 +197,12 @@
 					channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
 				}
 
-			})
-			.connect(endpointAddress)
-			.addListener((result) -> {
-				if (!result.isSuccess()) {
-					connection.handleConnectFailure(result.cause());
-				}
 			});
+		this.connector.connect(bootstrap, endpointAddress).addListener((result) -> {
+			if (!result.isSuccess()) {
+				connection.handleConnectFailure(result.cause());
+			}
+		});
 		return exchange;
 	}
 
