Let other instances run the requests of one that cannot reach the endpoints

Cause: an instance had one way to an endpoint, its own link. Each attempt went that way again, 400 ms each, and homes were told that the endpoints could not be reached. Class: a failure on the own side is taken for one of the other side.

When two endpoints in a row cannot be connected to and none has sent anything since, the link counts as lost: requests go to others at once, streams that have fallen silent are resumed there, and connections are opened twice a second to notice that it is back. What is given up on an open connection is reset, so that it does not arrive later. Homes are told of an endpoint only when another one could be connected to.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.opentelemetry.api.trace.Span;
@@ -17,6 +16,8 @@
 import reactor.core.scheduler.Schedulers;
 
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegistry;
 import org.poplarloom.core.process.Member;
@@ -33,6 +34,7 @@
 import org.poplarloom.port.LogPort;
 import org.poplarloom.port.ServicePort;
 import org.poplarloom.wire.connection.PeerHandler;
+import org.poplarloom.wire.connection.PeerReplies;
 import org.poplarloom.wire.message.Message;
 import org.poplarloom.wire.process.PeerTransport;
 
@@ -123,6 +125,9 @@
 	private volatile BiConsumer<EndpointId, String> leavingObserver = (endpoint, bootId) -> {
 	};
 
+	private volatile PeerHandler forwardHandler = (peer, message, replies) -> replies
+		.accept(new Message.ForwardedRefusal(ErrorCode.NOT_READY, Executed.NO, "the instance relays no requests", 0));
+
 	/**
 	 * Creates a node, which does nothing until it is started.
 	 * @param settings the settings
@@ -267,7 +272,7 @@
 	}
 
 	@Override
-	public void handle(InstanceId peer, Message message, Consumer<Message> reply) {
+	public void handle(InstanceId peer, Message message, PeerReplies reply) {
 		if (this.crashInvestigation == null) {
 			return;
 		}
@@ -323,12 +328,28 @@
 				.ifPresent((address) -> this.tableFollowers.get(notice.table())
 					.handlePeerPosition(address, notice.next()));
 		}
+		else if (isForwarding(message)) {
+			this.forwardHandler.handle(peer, message, reply);
+		}
 		else if (message instanceof Message.ConfigurationFetch fetch) {
 			reply.accept(new Message.ConfigurationContent(
 					Documents.write(this.activeConfiguration.configuration().changesSince(fetch.offset()))));
 		}
 	}
 
+	private static boolean isForwarding(Message message) {
+		return message instanceof Message.ForwardRequest || message instanceof Message.ForwardCredit
+				|| message instanceof Message.ForwardCancel;
+	}
+
+	/**
+	 * Sets the handler of the requests that peers forward.
+	 * @param handler handles them
+	 */
+	public void handleForwardedBy(PeerHandler handler) {
+		this.forwardHandler = handler;
+	}
+
 	/**
 	 * Lets peers fetch the records that a follower of a platform table has read.
 	 * @param follower the follower
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -203,6 +204,20 @@
 		return current != null && String.valueOf(current.entry.lifetime()).equals(bootId);
 	}
 
+	/**
+	 * Returns where the endpoints are that take requests.
+	 * @return the hosts and ports by endpoint
+	 */
+	public Map<EndpointId, String> endpointAddresses() {
+		Map<EndpointId, String> addresses = new HashMap<>();
+		for (ReceivedEntry received : this.endpoints.values()) {
+			if (!isDraining(received.entry)) {
+				addresses.put(received.entry.endpoint(), received.entry.address());
+			}
+		}
+		return addresses;
+	}
+
 	/**
 	 * Returns how many entry instances have published themselves; those that ended
 	 * without notice count too.
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -25,6 +25,7 @@
 import org.poplarloom.entry.Settings;
 import org.poplarloom.entry.relay.AnswerBuffers;
 import org.poplarloom.entry.relay.CallerServer;
+import org.poplarloom.entry.relay.ForwardedRequests;
 import org.poplarloom.entry.relay.IncomingBodies;
 import org.poplarloom.entry.relay.RelayMetrics;
 import org.poplarloom.entry.relay.RelayService;
@@ -95,6 +96,8 @@
 
 	private final RelayService relay;
 
+	private final ForwardedRequests forwardedRequests;
+
 	private final RelayMetrics metrics;
 
 	private RelayTables tables;
@@ -122,9 +125,14 @@
 		this.relay = new RelayService(this.node, this.routing, this.entries, exchanger, new WorkerFormat(), this.loop,
 				memory, answerBuffers, incomingBodies,
 				new RelayService.RetryLimit(platform.retryRatio(), platform.retryReserve()));
+		this.forwardedRequests = new ForwardedRequests(this.relay, new CallerFormat());
+		this.node.handleForwardedBy(this.forwardedRequests);
 		this.node.observeLeaving((endpoint, bootId) -> this.relay.recordLeaving(endpoint, bootId));
 		this.metrics = this.relay.metrics();
 		this.metrics.registerGauge("connections.opened", exchanger::openedConnections);
+		this.metrics.registerGauge("endpoint_link.lost", () -> this.relay.isLinkLost() ? 1L : 0L);
+		this.metrics.registerGauge("requests.forwarded", this.relay::forwardedCount);
+		this.metrics.registerGauge("requests.run_for_others", this.forwardedRequests::count);
 		this.metrics.registerGauge("store.calls", countedStore::calls);
 		this.metrics.registerGauge("connections.unexpected_data", exchanger::connectionsWithUnexpectedData);
 		this.metrics.registerGauge("memory.held_bytes", memory::heldBytes);
@@ -285,7 +293,7 @@
 
 	// In one step, so that no request is admitted between the check and the end.
 	private boolean stopAdmittingIfIdle() {
-		boolean isIdle = this.callerServer.requestsInProgress() == 0;
+		boolean isIdle = this.callerServer.requestsInProgress() == 0 && this.forwardedRequests.inProgress() == 0;
 		if (isIdle) {
 			this.relay.stopAdmitting();
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/AttemptEndpoints.java
@@ -118,15 +118,23 @@
 	 * @param leaving one of the endpoints
 	 */
 	void reportLeaving(AssignedEndpoint leaving) {
-		for (HeldGrant grant : this.grants) {
-			boolean isGranted = grant.grant()
-				.shares()
-				.stream()
-				.anyMatch((share) -> share.endpoint().equals(leaving.endpoint()));
-			if (isGranted) {
-				this.grantClient.reportLeaving(grant, leaving.endpoint(), leaving.bootId());
-			}
-		}
+		this.grants.stream()
+			.filter((grant) -> contains(grant, leaving))
+			.forEach((grant) -> this.grantClient.reportLeaving(grant, leaving.endpoint(), leaving.bootId()));
+	}
+
+	/**
+	 * Tells the home of an endpoint that it could not be reached, also after the release.
+	 * @param unreachable one of the endpoints
+	 */
+	void reportUnreachable(AssignedEndpoint unreachable) {
+		this.grants.stream()
+			.filter((grant) -> contains(grant, unreachable))
+			.forEach((grant) -> this.grantClient.reportUnreachable(grant, unreachable.endpoint()));
+	}
+
+	private static boolean contains(HeldGrant grant, AssignedEndpoint assigned) {
+		return grant.grant().shares().stream().anyMatch((share) -> share.endpoint().equals(assigned.endpoint()));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -28,7 +28,7 @@
  * The grants are released exactly once, however the attempt ends. This class is not
  * thread-safe; the event loop guards it.
  */
-final class RelayAttempt implements ExchangeListener {
+final class RelayAttempt implements Attempt, ExchangeListener {
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayAttempt.class);
 
@@ -83,6 +83,8 @@
 
 	private int ignoredBytes;
 
+	private long sentMillis;
+
 	private boolean firstByteReceived;
 
 	private long firstByteMillis;
@@ -114,11 +116,13 @@
 		return this.endpoints.answering().bootId();
 	}
 
-	/**
-	 * Returns the number of the exchange on its connection.
-	 * @return the number, from 1, or 0 if no response has begun
-	 */
-	int exchangeNumber() {
+	@Override
+	public String answeredBy() {
+		return endpoint().value();
+	}
+
+	@Override
+	public int exchangeNumber() {
 		return this.exchangeNumber;
 	}
 
@@ -172,6 +176,8 @@
 		HttpExchanger exchanger = this.run.service().exchanger();
 		String address = this.endpoints.answering().address();
 		FullHttpRequest request = protocol.write(this.run.request(), dispatch);
+		this.sentMillis = this.run.service().nowMillis();
+		this.run.service().link().startAwaiting(this, endpoint(), address);
 		// On a connection that carried the request before, its earlier answer may come
 		// once more, and nothing would tell the two apart.
 		this.exchange = this.isFirstAtEndpoint ? exchanger.send(address, request, maxDelayMillis, this)
@@ -180,6 +186,7 @@
 
 	@Override
 	public boolean head(HttpResponse response, int numberOnConnection) {
+		this.run.service().link().recordContact(endpoint(), numberOnConnection == 1);
 		this.exchangeNumber = numberOnConnection;
 		Reply reply = this.run.service().protocol().classify(this.run.request(), response, numberOnConnection);
 		if (reply == Reply.OTHER_REQUEST) {
@@ -209,6 +216,7 @@
 		if (this.ended) {
 			return;
 		}
+		this.run.service().link().recordContact(endpoint(), false);
 		recordProgress();
 		if (isStream()) {
 			writeEvents(content);
@@ -424,10 +432,34 @@
 	@Override
 	public void fail(HttpExchanger.ExchangeException failure) {
 		if (!this.ended) {
-			AttemptFailure attemptFailure = failure.isSent()
-					? AttemptFailure.executionUnknown(failure.getMessage(), true)
-					: AttemptFailure.notReceived(failure.getMessage());
-			fail(attemptFailure, failure.isSent() ? null : endpoint());
+			if (failure.isSent()) {
+				fail(AttemptFailure.executionUnknown(failure.getMessage(), true), null);
+			}
+			else if (connectionAgeMillis() > 0) {
+				fail(AttemptFailure.notReceived(failure.getMessage()), endpoint());
+			}
+			else {
+				failUnreachable(failure);
+			}
+		}
+	}
+
+	// Homes must not doubt an endpoint because this instance has lost its link.
+	private void failUnreachable(HttpExchanger.ExchangeException failure) {
+		this.run.service()
+			.link()
+			.recordUnreachable(endpoint(), () -> this.endpoints.reportUnreachable(this.endpoints.answering()));
+		fail(AttemptFailure.unreachable(failure.getMessage(), failure.isConnectTimeout()), null);
+	}
+
+	@Override
+	public void handleLostLink() {
+		long silentMillis = this.run.service().nowMillis() - Math.max(this.sentMillis, this.lastReceivedMillis);
+		boolean isSilent = connectionAgeMillis() > 0 && this.run.isReading()
+				&& silentMillis >= EndpointLink.SILENCE_MILLIS;
+		if (!this.ended && isSilent && this.run.mayRepeat()) {
+			this.exchange.cancel();
+			fail(AttemptFailure.executionUnknown("link to the endpoints was lost", false), null);
 		}
 	}
 
@@ -438,6 +470,7 @@
 
 	private void release(EndpointId unreachable) {
 		this.ended = true;
+		this.run.service().link().stopAwaiting(this);
 		this.memory.close();
 		if (this.reservation != null) {
 			this.reservation.release();
@@ -445,15 +478,13 @@
 		this.endpoints.release(unreachable);
 	}
 
-	/**
-	 * Returns whether the request was sent to the endpoint.
-	 * @return false while helpers reserve memory
-	 */
-	boolean isSent() {
+	@Override
+	public boolean isSent() {
 		return this.exchange != null;
 	}
 
-	void cancel() {
+	@Override
+	public void cancel() {
 		if (!this.ended) {
 			if (this.exchange != null) {
 				this.exchange.cancel();
@@ -462,7 +493,8 @@
 		}
 	}
 
-	void setReading(boolean isReading) {
+	@Override
+	public void setReading(boolean isReading) {
 		if (this.exchange != null) {
 			this.exchange.setAutoRead(isReading);
 		}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -18,6 +19,7 @@
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
 import org.poplarloom.core.Executed;
+import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
 import org.poplarloom.core.TeamId;
 import org.poplarloom.core.request.GrantRequest;
@@ -25,6 +27,7 @@
 import org.poplarloom.core.version.PrefillPlan;
 import org.poplarloom.core.version.Route;
 import org.poplarloom.core.version.RoutingTable;
+import org.poplarloom.entry.process.InstanceView;
 import org.poplarloom.entry.request.Fingerprint;
 import org.poplarloom.entry.request.PlannedStop;
 import org.poplarloom.port.relay.RelayRequest;
@@ -53,6 +56,9 @@
 	 */
 	private static final int MAX_UNRECEIVED_ATTEMPTS = 4;
 
+	/** Instances that are cut off too, or stop, refuse at once. */
+	private static final int MAX_FORWARDS = 6;
+
 	private static final long NOT_MEASURED = -1;
 
 	private static final TeamId PUBLIC_TEAM = TeamId.of("public");
@@ -63,10 +69,15 @@
 
 	private final CallerReply reply;
 
+	/** What a peer has said that forwarded the request, or null. */
+	private final ForwardedOrigin origin;
+
 	private final long startedMillis;
 
 	private final Set<EndpointId> excluded = new HashSet<>();
 
+	private final Set<EndpointId> unreached = new HashSet<>();
+
 	private final Set<EndpointId> attempted = new HashSet<>();
 
 	private final StreamPosition position;
@@ -85,10 +96,14 @@
 
 	private GrantSearch grantSearch;
 
-	private RelayAttempt attempt;
+	private Attempt attempt;
 
 	private int attemptCount;
 
+	private final Set<InstanceId> triedPeers = new HashSet<>();
+
+	private boolean prefersPeers;
+
 	/** Attempts that did not reach the endpoint that was granted for them. */
 	private int unreceivedCount;
 
@@ -114,7 +129,11 @@
 
 	private int endpointCount;
 
-	RelayRun(RelayService service, RelayRequest request, CallerReply reply) {
+	RelayRun(RelayService service, RelayRequest request, CallerReply reply, ForwardedOrigin origin) {
+		this.origin = origin;
+		if (origin != null) {
+			this.excluded.addAll(origin.excluded());
+		}
 		this.service = service;
 		this.request = request;
 		this.reply = reply;
@@ -131,7 +150,9 @@
 				? chosen.timeoutMillis() : Math.min(chosen.timeoutMillis(), this.request.clientTimeoutMillis());
 		this.deadlineMillis = this.startedMillis + timeoutMillis;
 		this.deadlineTimer = this.service.loop().schedule(this::deadlinePassed, timeoutMillis, TimeUnit.MILLISECONDS);
-		this.service.earnRetry(this.serviceName);
+		if (this.origin == null) {
+			this.service.earnRetry(this.serviceName);
+		}
 		this.prefillPlan = table.service(this.serviceName)
 			.flatMap((target) -> PrefillPlan.of(target, this.request.promptTokens(), this.request.answerTokens()))
 			.orElse(null);
@@ -152,16 +173,49 @@
 					backOffMillis.getAsLong() + spreadMillis));
 			return;
 		}
+		if (isForwardingDue()) {
+			if (forward()) {
+				return;
+			}
+			if (this.service.link().isLost() && this.service.forwarding().hasPeers()) {
+				grantRefused(new PoplarloomException(ErrorCode.NO_ENDPOINT,
+						"neither this instance nor another one reaches the endpoints"));
+				return;
+			}
+		}
 		long attemptStartedMillis = (this.attemptCount == 0) ? this.startedMillis : this.service.nowMillis();
 		LatencyTarget latencyTarget = GrantSearch.Criteria.latencyTarget(this.route, attemptStartedMillis,
 				this.deadlineMillis);
-		GrantSearch.Criteria criteria = new GrantSearch.Criteria(this.request,
-				this.request.id() + "." + this.attemptCount, teamId(), this.serviceName, this.prefillPlan,
-				this.deadlineMillis, latencyTarget, this.excluded, returnFingerprint(), priority());
+		GrantSearch.Criteria criteria = new GrantSearch.Criteria(this.request, attemptId(), teamId(), this.serviceName,
+				this.prefillPlan, this.deadlineMillis, latencyTarget, this.excluded, returnFingerprint(), priority());
 		this.grantSearch = new GrantSearch(this.service, criteria, this::startAttempt, this::grantRefused);
 		this.grantSearch.start();
 	}
 
+	// Unique in the system, also if another instance continues the request.
+	private String attemptId() {
+		return ((this.origin != null) ? this.origin.key() : this.request.id()) + "." + this.attemptCount;
+	}
+
+	private boolean isForwardingDue() {
+		return this.origin == null && (this.prefersPeers || this.service.link().isLost());
+	}
+
+	private boolean forward() {
+		Optional<InstanceView.Instance> peer = (this.triedPeers.size() < MAX_FORWARDS)
+				? this.service.forwarding().choose(this.triedPeers) : Optional.empty();
+		if (peer.isEmpty()) {
+			return false;
+		}
+		this.triedPeers.add(peer.get().id());
+		this.endpointCount = 1;
+		String key = this.service.forwarding().nextKey(this.request.id());
+		ForwardedAttempt forwarded = new ForwardedAttempt(this, peer.get(), key);
+		this.attempt = forwarded;
+		forwarded.start(ForwardedAttempt.message(this, key, attemptsLeft()));
+		return true;
+	}
+
 	// Homes recognize callers that return only if they share time among teams.
 	private long returnFingerprint() {
 		if (!this.service.node().settings().load().hasTeamShares()) {
@@ -194,12 +248,18 @@
 		this.attemptCount++;
 		this.endpointCount = endpoints.helpers().size() + 1;
 		boolean isFirstAtEndpoint = this.attempted.add(endpoints.answering().endpoint());
-		this.attempt = new RelayAttempt(this, endpoints, this.request.id() + "." + this.attemptCount,
-				isFirstAtEndpoint);
-		this.attempt.start();
+		RelayAttempt direct = new RelayAttempt(this, endpoints, attemptId(), isFirstAtEndpoint);
+		this.attempt = direct;
+		direct.start();
 	}
 
 	private void grantRefused(PoplarloomException cause) {
+		if (mayReachMoreThroughPeers()) {
+			this.prefersPeers = true;
+			if (forward()) {
+				return;
+			}
+		}
 		if (this.streamStarted) {
 			abort(cause.code().text());
 		}
@@ -208,6 +268,10 @@
 		}
 	}
 
+	private boolean mayReachMoreThroughPeers() {
+		return this.origin == null && !this.prefersPeers && !this.unreached.isEmpty() && mayTryAgain();
+	}
+
 	// An error response of an endpoint tells the caller more than a refusal by the relay.
 	private void sendFailure(PoplarloomException cause) {
 		if (this.endpointFailure != null) {
@@ -230,8 +294,28 @@
 	}
 
 	private boolean hasAttemptsLeft() {
-		return this.attemptCount - this.unreceivedCount < this.route.maxAttempts()
-				&& this.unreceivedCount <= MAX_UNRECEIVED_ATTEMPTS;
+		return attemptsLeft() > 0 && this.unreceivedCount <= MAX_UNRECEIVED_ATTEMPTS;
+	}
+
+	private int attemptsLeft() {
+		int maxAttempts = (this.origin != null) ? Math.min(this.origin.maxAttempts(), this.route.maxAttempts())
+				: this.route.maxAttempts();
+		return maxAttempts - (this.attemptCount - this.unreceivedCount);
+	}
+
+	/**
+	 * Returns whether the request may be sent once more although an endpoint may have run
+	 * it.
+	 * @return false if it may run only once or cannot be continued where it broke off
+	 */
+	boolean mayRepeat() {
+		boolean isContinuable = !this.streamStarted
+				|| (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown());
+		return this.route.isRepeatable() && isContinuable && hasAttemptsLeft();
+	}
+
+	private boolean mayTryAgain() {
+		return this.mayHaveRun ? mayRepeat() : hasAttemptsLeft();
 	}
 
 	/**
@@ -258,20 +342,76 @@
 				.report(failed.endpoint(), failed.bootId(), fingerprint(),
 						failed.hasSurvivedBeginning() ? List.of() : possiblePartCauses(), failed.connectionAgeMillis());
 		}
-		boolean mayRetry = !this.mayHaveRun || (this.route.isRepeatable() && (!this.streamStarted
-				|| (this.route.retryMode() == Route.RetryMode.RESUME && this.position.isKnown())));
-		if (mayRetry && hasAttemptsLeft() && this.service.trySpendRetry(this.serviceName)) {
+		if (failure.isUnreachable()) {
+			this.unreached.add(failed.endpoint());
+			this.prefersPeers |= failure.reception() == AttemptFailure.Reception.TIMED_OUT || this.unreached.size() > 1;
+		}
+		tryAgainOrFail(failure.cause(), !failure.isUnreachable());
+	}
+
+	private void tryAgainOrFail(String cause, boolean isRepetition) {
+		if (mayTryAgain() && (!isRepetition || this.service.trySpendRetry(this.serviceName))) {
 			acquireGrant();
-			return;
 		}
-		if (this.streamStarted) {
-			abort(failure.cause());
+		else if (this.streamStarted) {
+			abort(cause);
 		}
 		else {
-			sendFailure(new PoplarloomException(ErrorCode.NO_ENDPOINT, failure.cause()));
+			sendFailure(new PoplarloomException(ErrorCode.NO_ENDPOINT, cause));
 		}
 	}
 
+	/**
+	 * Handles an attempt of another instance that ended without an answer.
+	 * @param failed the attempt
+	 * @param cause the reason
+	 * @param isUnknown whether an endpoint may have run the request
+	 */
+	void forwardFailed(ForwardedAttempt failed, String cause, boolean isUnknown) {
+		this.attempt = null;
+		this.mayHaveRun |= isUnknown;
+		this.attemptCount += isUnknown ? 1 : 0;
+		logger.info("request={} event=forward_failed {} mayHaveRun={} cause=\"{}\"", this.request.id(),
+				failed.answeredBy(), isUnknown, cause);
+		tryAgainOrFail(cause, isUnknown);
+	}
+
+	/**
+	 * Handles the refusal of an instance that has run the request as if it was of one of
+	 * its own callers.
+	 * @param refusal the refusal
+	 */
+	void forwardRefused(PoplarloomException refusal) {
+		this.attempt = null;
+		this.mayHaveRun |= refusal.executed() != Executed.NO;
+		if (this.streamStarted || this.endpointFailure != null || refusal.executed() == Executed.NO) {
+			grantRefused(refusal);
+		}
+		else {
+			sendRefusal(refusal);
+		}
+	}
+
+	/**
+	 * Handles the loss of the link to the endpoints; does nothing after the end.
+	 */
+	void handleLostLink() {
+		if (!this.ended && this.attempt != null) {
+			this.attempt.handleLostLink();
+		}
+	}
+
+	/**
+	 * Returns the endpoints that other instances must not use for the request.
+	 * @return those that have failed it, without those that only this instance may not
+	 * reach
+	 */
+	Set<EndpointId> failedEndpoints() {
+		Set<EndpointId> failed = new HashSet<>(this.excluded);
+		failed.removeAll(this.unreached);
+		return failed;
+	}
+
 	private void deadlinePassed() {
 		if (this.ended) {
 			return;
@@ -418,7 +558,7 @@
 						+ " endpoint={} exchange={} parts={} configuration={} first_ms={} pause_ms={} age_ms={}",
 				this.request.id(), outcome, detail, (this.route != null) ? this.route.name() : "", this.serviceName,
 				teamId(), this.request.promptTokens(), this.attemptCount,
-				(this.attempt != null) ? this.attempt.endpoint() : "",
+				(this.attempt != null) ? this.attempt.answeredBy() : "",
 				(this.attempt != null) ? this.attempt.exchangeNumber() : 0, this.endpointCount,
 				this.configurationVersion, this.firstEventMillis, this.maxPauseMillis, ageMillis);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -70,6 +70,10 @@
 
 	private final EarlyRequests earlyRequests;
 
+	private final EndpointLink link;
+
+	private final Forwarding forwarding;
+
 	private boolean admitting = true;
 
 	/**
@@ -99,6 +103,9 @@
 		this.incomingBodies = incomingBodies;
 		this.retryLimit = retryLimit;
 		this.earlyRequests = new EarlyRequests(loop, System.nanoTime());
+		this.forwarding = new Forwarding(node);
+		this.link = new EndpointLink(entries::endpointAddresses, exchanger::open, loop, this::nowMillis,
+				this::handleLostLink);
 	}
 
 	/**
@@ -109,7 +116,7 @@
 	 * @return the run, or null if the request was refused
 	 */
 	RelayRun start(RelayRequest request, CallerReply reply) {
-		RelayRun run = new RelayRun(this, request, reply);
+		RelayRun run = new RelayRun(this, request, reply, null);
 		if (this.routing.table().isEmpty() && this.admitting && this.earlyRequests.mayWait()) {
 			this.runs.add(run);
 			this.earlyRequests.add(() -> startWaiting(run, request, reply));
@@ -118,6 +125,18 @@
 		return start(run, request, reply) ? run : null;
 	}
 
+	/**
+	 * Starts to relay a request that another instance has forwarded, or refuses it.
+	 * @param request the request
+	 * @param reply sends the response to that instance
+	 * @param origin what the instance has said
+	 * @return the run, or null if the request was refused
+	 */
+	RelayRun startForwarded(RelayRequest request, CallerReply reply, ForwardedOrigin origin) {
+		RelayRun run = new RelayRun(this, request, reply, origin);
+		return start(run, request, reply) ? run : null;
+	}
+
 	// The caller may have left, or the instance may have begun to stop.
 	private void startWaiting(RelayRun run, RelayRequest request, CallerReply reply) {
 		if (!run.isEnded()) {
@@ -183,6 +202,44 @@
 		List.copyOf(this.runs).forEach(RelayRun::endAtShutdown);
 	}
 
+	// What was open before may stay silent when the link is back.
+	private void handleLostLink() {
+		this.entries.endpointAddresses().values().forEach(this.exchanger::closeIdle);
+		List.copyOf(this.runs).forEach(RelayRun::handleLostLink);
+	}
+
+	/**
+	 * Returns whether this instance can reach the endpoints.
+	 * @return the link to the endpoints
+	 */
+	EndpointLink link() {
+		return this.link;
+	}
+
+	/**
+	 * Returns whether no endpoint can be reached.
+	 * @return true if requests go through other instances
+	 */
+	public boolean isLinkLost() {
+		return this.link.isLost();
+	}
+
+	/**
+	 * Returns how many requests were forwarded to other instances.
+	 * @return the count since the start
+	 */
+	public long forwardedCount() {
+		return this.forwarding.count();
+	}
+
+	Forwarding forwarding() {
+		return this.forwarding;
+	}
+
+	long routingVersion() {
+		return this.routing.version();
+	}
+
 	void remove(RelayRun ended) {
 		this.runs.remove(ended);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/request/GrantClient.java
@@ -304,6 +304,17 @@
 		this.peers.send(home.home(), home.address(), new Message.EndpointLeaving(endpoint, bootId));
 	}
 
+	/**
+	 * Tells the home that a granted endpoint could not be reached. The grant may have
+	 * been released.
+	 * @param grant the grant
+	 * @param endpoint the endpoint
+	 */
+	public void reportUnreachable(HeldGrant grant, EndpointId endpoint) {
+		ShardStatus home = this.selector.current(grant.home().shard()).orElse(grant.home());
+		this.peers.send(home.home(), home.address(), new Message.Release(home.shard(), grant.grant().key(), endpoint));
+	}
+
 	/**
 	 * Releases a grant.
 	 * @param grant the grant; releasing it again has no effect
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/process/SimulatedFleet.java
@@ -32,6 +32,8 @@
 import org.poplarloom.port.KeyedTablePort;
 import org.poplarloom.wire.connection.PeerHandler;
 import org.poplarloom.wire.connection.PeerTraffic;
+import org.poplarloom.wire.connection.ReplyListener;
+import org.poplarloom.wire.connection.ReplyStream;
 import org.poplarloom.wire.message.Message;
 import org.poplarloom.wire.process.PeerTransport;
 
@@ -566,7 +568,7 @@
 			schedule(() -> {
 				if (!isLost && isReachable(target)) {
 					Instance peer = SimulatedFleet.this.instancesByAddress.get(target);
-					peer.receive(() -> peer.handler.handle(this.settings.instance(), message, reply));
+					peer.receive(() -> peer.handler.handle(this.settings.instance(), message, reply::accept));
 				}
 			}, PEER_DELAY_MILLIS);
 		}
@@ -578,6 +580,11 @@
 					&& !SimulatedFleet.this.silentZones.contains(peer.zone);
 		}
 
+		@Override
+		public ReplyStream open(String target, Message message, ReplyListener listener) {
+			throw new UnsupportedOperationException("instances of the fleet relay no requests");
+		}
+
 		@Override
 		public PeerTraffic traffic() {
 			return this.traffic;
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
@@ -68,8 +68,10 @@
 		this.store.putAll(Tables.WORKERS,
 				Map.of(this.firstWorker.id(), this.firstWorker.entry("model", "norte-a", "ready"),
 						this.secondWorker.id(), this.secondWorker.entry("app", "norte-b", "ready")));
-		awaitService(this.callerAddress);
 		this.others.forEach((other) -> awaitService(other.callerAddress()));
+		// An instance reads the list of the others when it starts.
+		restartDaemon();
+		awaitService(this.callerAddress);
 	}
 
 	private void awaitService(String address) {
@@ -125,7 +127,7 @@
 	 * Guards against callers who are not served because their instance cannot reach the
 	 * endpoints, which other instances can.
 	 */
-	@Test(dataProvider = "cuts", groups = "known-red")
+	@Test(dataProvider = "cuts")
 	public void requestsAreServedThroughOtherInstances(EndpointLinkStandIn.State state, boolean isWholeZone) {
 		Assert.assertEquals(serveAllKinds(REQUESTS), REQUESTS, "before the cut");
 		long start = System.currentTimeMillis();
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -73,6 +74,9 @@
 
 	private CurrentExchange current;
 
+	/** Called when the connection is open, or null if it was opened for a request. */
+	private Runnable onConnected;
+
 	private boolean isKeepAlive;
 
 	private boolean hasResponseStarted;
@@ -138,6 +142,10 @@
 		return this.current;
 	}
 
+	void idleWhenConnected(Runnable onConnected) {
+		this.onConnected = onConnected;
+	}
+
 	HttpExchanger.Exchange start(FullHttpRequest request, ExchangeListener listener) {
 		CurrentExchange next = new CurrentExchange(request, listener);
 		this.current = next;
@@ -234,6 +242,11 @@
 	public void channelActive(ChannelHandlerContext ctx) {
 		this.context = ctx;
 		this.openedNanos = System.nanoTime();
+		if (this.onConnected != null) {
+			becomeIdle();
+			this.onConnected.run();
+			return;
+		}
 		if (this.current == null) {
 			ctx.close();
 			return;
@@ -391,8 +404,7 @@
 		boolean isWritten = this.writing == null;
 		if (this.isKeepAlive && this.context.channel().isActive() && !this.isReuseForbidden && isWritten) {
 			this.context.channel().config().setAutoRead(true);
-			this.reusableUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.keepAliveMillis);
-			this.exchanger.addIdle(this);
+			becomeIdle();
 		}
 		else {
 			this.context.close();
@@ -400,6 +412,11 @@
 		finished.listener.end();
 	}
 
+	private void becomeIdle() {
+		this.reusableUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.keepAliveMillis);
+		this.exchanger.addIdle(this);
+	}
+
 	private void fail(String message, Throwable cause) {
 		CurrentExchange failed = this.current;
 		this.current = null;
@@ -455,6 +472,7 @@
 			HttpConnection.this.current = null;
 			HttpConnection.this.isReuseForbidden = true;
 			if (HttpConnection.this.context != null) {
+				HttpConnection.this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
 				HttpConnection.this.context.close();
 			}
 			else {
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -8,11 +8,13 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -171,6 +173,23 @@
 			ExchangeListener listener) {
 		HttpConnection connection = new HttpConnection(this, address);
 		Exchange exchange = connection.startWhenConnected(request, maxDelayMillis, listener);
+		connect(connection, connection::handleConnectFailure);
+		return exchange;
+	}
+
+	/**
+	 * Opens a connection that stays idle until it is used.
+	 * @param address the host and port
+	 * @param onResult receives whether the connection is open
+	 */
+	public void open(String address, Consumer<Boolean> onResult) {
+		HttpConnection connection = new HttpConnection(this, address);
+		connection.idleWhenConnected(() -> onResult.accept(true));
+		connect(connection, (cause) -> onResult.accept(false));
+	}
+
+	private void connect(HttpConnection connection, Consumer<Throwable> onFailure) {
+		String address = connection.address();
 		InetSocketAddress endpointAddress;
 		try {
 			int colon = address.lastIndexOf(':');
@@ -179,8 +198,8 @@
 		}
 		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
 			// The listener expects events only after this method has returned.
-			this.loop.execute(() -> connection.handleConnectFailure(ex));
-			return exchange;
+			this.loop.execute(() -> onFailure.accept(ex));
+			return;
 		}
 		this.openedConnections++;
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
@@ -200,10 +219,9 @@
 			});
 		this.connector.connect(bootstrap, endpointAddress).addListener((result) -> {
 			if (!result.isSuccess()) {
-				connection.handleConnectFailure(result.cause());
+				onFailure.accept(result.cause());
 			}
 		});
-		return exchange;
 	}
 
 	void addIdle(HttpConnection connection) {
@@ -273,8 +291,8 @@
 	public interface Exchange {
 
 		/**
-		 * Cancels the exchange and closes its connection; the listener is not called any
-		 * more.
+		 * Cancels the exchange and resets its connection, so that what the endpoint has
+		 * not received yet does not arrive later; the listener is not called any more.
 		 */
 		void cancel();
 
@@ -314,6 +332,15 @@
 			return this.isSent;
 		}
 
+		/**
+		 * Returns whether the endpoint's host did not respond while the connection was
+		 * opened.
+		 * @return true if opening the connection has timed out
+		 */
+		public boolean isConnectTimeout() {
+			return getCause() instanceof ConnectTimeoutException;
+		}
+
 	}
 
 }
--- a/poplarloom-port/src/main/java/org/poplarloom/port/relay/RelayRequest.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/relay/RelayRequest.java
@@ -40,6 +40,18 @@
 	/** The last event id of a caller that has received no event. */
 	public static final long NO_EVENT = -1;
 
+	/**
+	 * Returns this request for an instance that continues it.
+	 * @param remainingMillis how long the caller still waits, in milliseconds
+	 * @param receivedEventId the id of the last event that the caller has received, or
+	 * {@link #NO_EVENT}
+	 * @return the request
+	 */
+	public RelayRequest resumed(long remainingMillis, long receivedEventId) {
+		return new RelayRequest(this.id, this.method, this.target, this.host, this.headers, this.body, this.apiKey,
+				Math.max(0, remainingMillis), this.promptTokens, this.answerTokens, receivedEventId, this.sharedParts);
+	}
+
 	/**
 	 * Returns the path without the query.
 	 * @return the path
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.poplarloom.wire.connection;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -51,6 +52,8 @@
 
 	private final Map<Long, CompletableFuture<Message>> pending = new ConcurrentHashMap<>();
 
+	private final Map<Long, ReplyListener> streams = new ConcurrentHashMap<>();
+
 	private final CompletableFuture<PeerConnection> authenticated = new CompletableFuture<>();
 
 	private volatile ChannelHandlerContext context;
@@ -107,8 +110,7 @@
 	public CompletableFuture<Message> request(Message message, long timeoutMillis) {
 		CompletableFuture<Message> reply = new CompletableFuture<>();
 		if (!isOpen() || !this.context.channel().isWritable()) {
-			reply.completeExceptionally(new PoplarloomException(ErrorCode.PEER_TIMEOUT,
-					"connection to peer is not open or its write buffer is full"));
+			reply.completeExceptionally(notWritable());
 			return reply;
 		}
 		long correlationId = this.lastCorrelationId.incrementAndGet();
@@ -119,6 +121,30 @@
 		return reply;
 	}
 
+	/**
+	 * Sends a message that has several replies.
+	 * @param message the message
+	 * @param listener receives the replies; it is called at once if the message cannot be
+	 * sent
+	 * @return the replies
+	 */
+	public ReplyStream open(Message message, ReplyListener listener) {
+		if (!isOpen() || !this.context.channel().isWritable()) {
+			listener.disconnected(false, notWritable());
+			return () -> {
+			};
+		}
+		long correlationId = this.lastCorrelationId.incrementAndGet();
+		this.streams.put(correlationId, listener);
+		write(new Envelope(correlationId, false, message));
+		return () -> this.streams.remove(correlationId);
+	}
+
+	private static PoplarloomException notWritable() {
+		return new PoplarloomException(ErrorCode.PEER_TIMEOUT,
+				"connection to peer is not open or its write buffer is full");
+	}
+
 	/**
 	 * Closes the connection.
 	 */
@@ -153,13 +179,22 @@
 			handleHandshake(envelope.message());
 		}
 		else if (envelope.isReply()) {
-			CompletableFuture<Message> reply = this.pending.remove(envelope.correlationId());
-			if (reply != null) {
-				reply.complete(envelope.message());
-			}
+			receiveReply(envelope);
 		}
 		else {
-			this.handler.handle(this.peer, envelope.message(), (reply) -> reply(envelope.correlationId(), reply));
+			this.handler.handle(this.peer, envelope.message(), new Replies(envelope.correlationId()));
+		}
+	}
+
+	private void receiveReply(Envelope envelope) {
+		ReplyListener listener = this.streams.get(envelope.correlationId());
+		if (listener != null) {
+			listener.receive(envelope.message());
+			return;
+		}
+		CompletableFuture<Message> reply = this.pending.remove(envelope.correlationId());
+		if (reply != null) {
+			reply.complete(envelope.message());
 		}
 	}
 
@@ -202,6 +237,9 @@
 		PoplarloomException failure = new PoplarloomException(ErrorCode.PEER_TIMEOUT, "connection to peer was closed");
 		this.authenticated.completeExceptionally(failure);
 		this.pending.values().forEach((reply) -> reply.completeExceptionally(failure));
+		List<ReplyListener> listeners = List.copyOf(this.streams.values());
+		this.streams.clear();
+		listeners.forEach((listener) -> listener.disconnected(true, failure));
 	}
 
 	@Override
@@ -216,4 +254,27 @@
 		ctx.close();
 	}
 
+	/**
+	 * Sends the replies to one message of the peer. This class is thread-safe.
+	 */
+	private final class Replies implements PeerReplies {
+
+		private final long correlationId;
+
+		Replies(long correlationId) {
+			this.correlationId = correlationId;
+		}
+
+		@Override
+		public void accept(Message reply) {
+			PeerConnection.this.reply(this.correlationId, reply);
+		}
+
+		@Override
+		public void whenDisconnected(Runnable task) {
+			PeerConnection.this.context.channel().closeFuture().addListener((closed) -> task.run());
+		}
+
+	}
+
 }
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerHandler.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerHandler.java
@@ -1,7 +1,5 @@
 package org.poplarloom.wire.connection;
 
-import java.util.function.Consumer;
-
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.wire.message.Message;
 
@@ -16,9 +14,8 @@
 	 * Handles a message.
 	 * @param peer the authenticated sender
 	 * @param message the message
-	 * @param reply receives the reply, during the call or later; does nothing if the
-	 * sender expects none
+	 * @param replies sends the reply, during the call or later
 	 */
-	void handle(InstanceId peer, Message message, Consumer<Message> reply);
+	void handle(InstanceId peer, Message message, PeerReplies replies);
 
 }
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/Message.java
@@ -1,9 +1,11 @@
 package org.poplarloom.wire.message;
 
 import java.util.List;
+import java.util.Set;
 
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.process.CrashRegistry;
 import org.poplarloom.core.process.HomeSummary;
@@ -372,6 +374,102 @@
 	record EndpointLeaving(EndpointId endpoint, String bootId) implements Message {
 	}
 
+	/**
+	 * Asks the receiver to run a caller's request, since the sender cannot reach the
+	 * endpoints. The replies are an {@link Acknowledgement} at once, then either a
+	 * {@link ForwardedRefusal} or a {@link ForwardedAnswer}, or a {@link ForwardedHead},
+	 * any number of {@link ForwardedContent} and a {@link ForwardedEnd}.
+	 *
+	 * @param key identifies the forwarding, unique in the system
+	 * @param method the HTTP method
+	 * @param target the path and query as the caller sent them
+	 * @param headers the headers as the caller sent them
+	 * @param body the body
+	 * @param remainingMillis the time left for the answer, in milliseconds
+	 * @param lastEventId the last event that the caller has received, or -1
+	 * @param maxAttempts how many endpoints may receive the request
+	 * @param excluded endpoints that have failed the request
+	 * @param routingVersion the version of the routing table in force at the sender
+	 */
+	record ForwardRequest(String key, String method, String target, List<Header> headers, Bytes body,
+			long remainingMillis, long lastEventId, int maxAttempts, Set<EndpointId> excluded,
+			long routingVersion) implements Message {
+	}
+
+	/**
+	 * The status and headers of a stream.
+	 *
+	 * @param status the status
+	 * @param reason the reason phrase
+	 * @param headers the headers
+	 */
+	record ForwardedHead(int status, String reason, List<Header> headers) implements Message {
+	}
+
+	/**
+	 * The next bytes of a stream, which are whole events.
+	 *
+	 * @param content the bytes
+	 */
+	record ForwardedContent(Bytes content) implements Message {
+	}
+
+	/**
+	 * The end of a stream.
+	 *
+	 * @param isComplete false if it was broken off
+	 */
+	record ForwardedEnd(boolean isComplete) implements Message {
+	}
+
+	/**
+	 * A complete answer.
+	 *
+	 * @param status the status
+	 * @param reason the reason phrase
+	 * @param headers the headers
+	 * @param body the body
+	 */
+	record ForwardedAnswer(int status, String reason, List<Header> headers, Bytes body) implements Message {
+	}
+
+	/**
+	 * Reports that the request was refused or has failed.
+	 *
+	 * @param code the reason
+	 * @param executed whether an endpoint has executed it
+	 * @param text an explanation
+	 * @param retryAfterMillis after how long another attempt may succeed, in milliseconds
+	 */
+	record ForwardedRefusal(ErrorCode code, Executed executed, String text, long retryAfterMillis) implements Message {
+	}
+
+	/**
+	 * Allows the receiver to send more of a stream.
+	 *
+	 * @param key the key of the forwarding
+	 * @param bytes how many bytes the caller has taken since the last message
+	 */
+	record ForwardCredit(String key, long bytes) implements Message {
+	}
+
+	/**
+	 * Ends a forwarded request whose answer nobody waits for any more.
+	 *
+	 * @param key the key of the forwarding
+	 */
+	record ForwardCancel(String key) implements Message {
+	}
+
+	/**
+	 * An HTTP header.
+	 *
+	 * @param name the name
+	 * @param text the value
+	 */
+	record Header(String name, String text) {
+	}
+
 	/**
 	 * The newest record of a key in a platform table.
 	 *
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/MessageCodec.java
@@ -42,7 +42,10 @@
 			Message.VersionQuery.class, Message.VersionReply.class, Message.Heartbeat.class,
 			Message.SegmentPrefilled.class, Message.Acknowledgement.class, Message.TableFetch.class,
 			Message.TableContent.class, Message.TableNotice.class, Message.CrashReport.class,
-			Message.SurvivalQuery.class, Message.SurvivalReply.class, Message.EndpointLeaving.class);
+			Message.SurvivalQuery.class, Message.SurvivalReply.class, Message.EndpointLeaving.class,
+			Message.ForwardRequest.class, Message.ForwardedHead.class, Message.ForwardedContent.class,
+			Message.ForwardedEnd.class, Message.ForwardedAnswer.class, Message.ForwardedRefusal.class,
+			Message.ForwardCredit.class, Message.ForwardCancel.class);
 
 	/** The same content is sent to all members of a zone in turn. */
 	private static volatile Compressed lastCompressed = new Compressed(null, null);
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/message/RecordCodec.java
@@ -38,6 +38,9 @@
 
 	private static final int MAX_NESTING = 16;
 
+	/** The size of a frame; the unpacker allocates what the header says. */
+	private static final int MAX_BINARY_BYTES = 32 * 1024 * 1024;
+
 	private static final Map<Class<?>, RecordLayout> LAYOUTS = new ConcurrentHashMap<>();
 
 	private RecordCodec() {
@@ -65,6 +68,10 @@
 		else if (value instanceof Enum<?> constant) {
 			packer.packInt(constant.ordinal());
 		}
+		else if (value instanceof byte[] bytes) {
+			packer.packBinaryHeader(bytes.length);
+			packer.writePayload(bytes);
+		}
 		else if (value instanceof Collection<?> items) {
 			writeItems(packer, items);
 		}
@@ -123,9 +130,20 @@
 		if (rawType == double.class) {
 			return unpacker.unpackDouble();
 		}
+		if (rawType == byte[].class) {
+			return readBytes(unpacker);
+		}
 		return rawType.isEnum() ? readConstant(unpacker, rawType) : readRecord(unpacker, rawType, depth + 1);
 	}
 
+	private static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackBinaryHeader();
+		if (size > MAX_BINARY_BYTES) {
+			throw badFrame("binary value of " + size + " bytes exceeds the limit of " + MAX_BINARY_BYTES);
+		}
+		return unpacker.readPayload(size);
+	}
+
 	private static Object readConstant(MessageUnpacker unpacker, Class<?> type) throws IOException {
 		int ordinal = unpacker.unpackInt();
 		Object[] constants = type.getEnumConstants();
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -24,6 +25,8 @@
 import org.poplarloom.wire.connection.PeerHandler;
 import org.poplarloom.wire.connection.PeerKey;
 import org.poplarloom.wire.connection.PeerTraffic;
+import org.poplarloom.wire.connection.ReplyListener;
+import org.poplarloom.wire.connection.ReplyStream;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -40,6 +43,12 @@
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(1024 * 1024,
 			4 * 1024 * 1024);
 
+	private static final ReplyStream UNOPENED = () -> {
+	};
+
+	private static final ReplyStream CLOSED = () -> {
+	};
+
 	private final InstanceId self;
 
 	private final PeerKey key;
@@ -107,6 +116,25 @@
 			.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
 	}
 
+	@Override
+	public ReplyStream open(String address, Message message, ReplyListener listener) {
+		AtomicReference<ReplyStream> stream = new AtomicReference<>(UNOPENED);
+		connect(address).whenComplete((connection, failure) -> {
+			if (failure != null) {
+				if (stream.get() != CLOSED) {
+					listener.disconnected(false, failure);
+				}
+			}
+			else if (stream.get() != CLOSED) {
+				ReplyStream opened = connection.open(message, listener);
+				if (!stream.compareAndSet(UNOPENED, opened)) {
+					opened.close();
+				}
+			}
+		});
+		return () -> stream.getAndSet(CLOSED).close();
+	}
+
 	private CompletableFuture<PeerConnection> connect(String address) {
 		CompletableFuture<PeerConnection> existing = this.connections.get(address);
 		if (existing != null && !isFailedOrClosed(existing)) {
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerTransport.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerTransport.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.poplarloom.wire.connection.PeerTraffic;
+import org.poplarloom.wire.connection.ReplyListener;
+import org.poplarloom.wire.connection.ReplyStream;
 import org.poplarloom.wire.message.Message;
 
 /**
@@ -38,6 +40,15 @@
 	 */
 	CompletableFuture<Message> request(String address, Message message, long timeoutMillis);
 
+	/**
+	 * Sends a message that has several replies.
+	 * @param address the peer's host and port
+	 * @param message the message
+	 * @param listener receives the replies
+	 * @return the replies
+	 */
+	ReplyStream open(String address, Message message, ReplyListener listener);
+
 	/**
 	 * Returns the counters of messages and bytes on all connections to peers.
 	 * @return the counters
--- a/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
+++ b/poplarloom-wire/src/test/java/org/poplarloom/wire/message/MessageCodecTests.java
@@ -15,6 +15,7 @@
 import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
 import org.poplarloom.core.ErrorCode;
+import org.poplarloom.core.Executed;
 import org.poplarloom.core.FencingToken;
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.core.PoplarloomException;
@@ -90,7 +91,14 @@
 				new Message.Heartbeat(1, 2, 3, 4, List.of(new Message.ShardLoad(5, new HomeSummary(1, 2, 3, 4, true))),
 						TablePosition.of(0, 6), TablePosition.of(0, 7),
 						new Message.TableCopies(true, 900, 20, TablePosition.of(0, 8)), 9),
-				new Message.Heartbeat(1, 2, 3, 4, List.of(), TablePosition.of(0, 6), TablePosition.of(0, 7), null, 0) };
+				new Message.Heartbeat(1, 2, 3, 4, List.of(), TablePosition.of(0, 6), TablePosition.of(0, 7), null, 0),
+				new Message.ForwardRequest("k", "POST", "/a?b", List.of(new Message.Header("h", "v")),
+						new Bytes(new byte[] { 1, -1 }), 900, -1, 2, Set.of(EndpointId.of("e")), 7),
+				new Message.ForwardedHead(200, "OK", List.of()), new Message.ForwardedContent(new Bytes(new byte[3])),
+				new Message.ForwardedEnd(true),
+				new Message.ForwardedAnswer(200, "OK", List.of(), new Bytes(new byte[0])),
+				new Message.ForwardedRefusal(ErrorCode.NOT_READY, Executed.NO, "t", 5),
+				new Message.ForwardCredit("k", 9), new Message.ForwardCancel("k") };
 	}
 
 	@Test(dataProvider = "messages")
