Refuse responses whose status is not within 100 to 599

Here 600, 601, 999 and 1000 were passed on as the endpoint's answer, and what is below 100 was taken for an interim response, so that the caller waited for its timeout and got 504 after 2 s.

Cause: the status was only compared with limits of classes, from one side. Class: a value out of its range falls into the nearest class.

Change: such a head is no response; the attempt fails at once, so an order gets 502 and a lookup is sent to another endpoint.

--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/ResponseHeads.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/ResponseHeads.java
@@ -15,6 +15,10 @@
  */
 final class ResponseHeads {
 
+	private static final int MIN_STATUS = 100;
+
+	private static final int MAX_STATUS = 599;
+
 	private static final String PROTOCOL_NAME = "HTTP";
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+\\s+\\d{3}", Pattern.CASE_INSENSITIVE);
@@ -31,6 +35,10 @@
 		if (!PROTOCOL_NAME.equals(head.protocolVersion().protocolName())) {
 			return "protocol is '" + head.protocolVersion().text() + "'";
 		}
+		int status = head.status().code();
+		if (status < MIN_STATUS || status > MAX_STATUS) {
+			return "status is " + status;
+		}
 		if (containsStatusLine(head.status().reasonPhrase())) {
 			return "reason phrase contains the status line of another response";
 		}
