Take only connections that others have ended for crashes of endpoints

Cause: any end of an exchange after the request was sent was reported as a crash, also where this side closes the connection over a response that cannot be read. It was hidden because crashes of one lifetime counted once.

Change: the client says whether the endpoint or the network has ended the connection, and only that is reported.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -433,7 +433,7 @@
 	public void fail(HttpExchanger.ExchangeException failure) {
 		if (!this.ended) {
 			if (failure.isSent()) {
-				fail(AttemptFailure.executionUnknown(failure.getMessage(), true), null);
+				fail(AttemptFailure.executionUnknown(failure.getMessage(), failure.isConnectionLost()), null);
 			}
 			else if (connectionAgeMillis() > 0) {
 				fail(AttemptFailure.notReceived(failure.getMessage()), endpoint());
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -168,7 +168,7 @@
 
 	private void failUnlessWritten(Future<?> result) {
 		if (!result.isSuccess()) {
-			fail("request could not be written", result.cause());
+			failLost("request could not be written", result.cause());
 		}
 	}
 
@@ -268,7 +268,7 @@
 		this.current = null;
 		if (failed != null) {
 			failed.request.release();
-			failed.listener.fail(new HttpExchanger.ExchangeException(message, false, cause));
+			failed.listener.fail(new HttpExchanger.ExchangeException(message, false, false, cause));
 		}
 	}
 
@@ -418,6 +418,14 @@
 	}
 
 	private void fail(String message, Throwable cause) {
+		fail(message, false, cause);
+	}
+
+	private void failLost(String message, Throwable cause) {
+		fail(message, true, cause);
+	}
+
+	private void fail(String message, boolean isConnectionLost, Throwable cause) {
 		CurrentExchange failed = this.current;
 		this.current = null;
 		this.isReuseForbidden = true;
@@ -425,8 +433,8 @@
 			this.context.close();
 		}
 		if (failed != null) {
-			failed.listener
-				.fail(new HttpExchanger.ExchangeException(message + " (" + this.address + ")", failed.isSent, cause));
+			failed.listener.fail(new HttpExchanger.ExchangeException(message + " (" + this.address + ")", failed.isSent,
+					isConnectionLost, cause));
 		}
 	}
 
@@ -439,12 +447,12 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		endWriting(this.writing);
 		this.exchanger.removeIdle(this);
-		fail("connection was closed", null);
+		failLost("connection was closed", null);
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		fail("connection was broken", cause);
+		failLost("connection was broken", cause);
 	}
 
 	/**
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpExchanger.java
@@ -318,9 +318,20 @@
 
 		private final boolean isSent;
 
-		ExchangeException(String message, boolean isSent, Throwable cause) {
+		private final boolean isConnectionLost;
+
+		ExchangeException(String message, boolean isSent, boolean isConnectionLost, Throwable cause) {
 			super(message, cause);
 			this.isSent = isSent;
+			this.isConnectionLost = isConnectionLost;
+		}
+
+		/**
+		 * Returns whether the endpoint or the network has ended the connection.
+		 * @return false if it was closed here, for a response that cannot be read
+		 */
+		public boolean isConnectionLost() {
+			return this.isConnectionLost;
 		}
 
 		/**
