Do not take a configuration that cannot be read for an older one

Callers saw nothing; the gauge of unreadable configurations stayed 0. Cause: without a version it compared as version 0 and was taken for one that was written late.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/OperatorRecordOrder.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/OperatorRecordOrder.java
@@ -1,6 +1,7 @@
 package org.poplarloom.entry.process;
 
 import java.util.Arrays;
+import java.util.OptionalLong;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,22 +27,31 @@
 		return !Arrays.equals(restored.value(), known.value());
 	}
 
+	// A configuration that cannot be read is no version, and the one before stays in
+	// force.
 	@Override
 	public boolean isWrittenLate(Entry later, Entry earlier) {
-		return later.key().equals(ConfigurationFormat.CONFIGURATION_KEY) && version(later) < version(earlier);
+		if (!later.key().equals(ConfigurationFormat.CONFIGURATION_KEY)) {
+			return false;
+		}
+		OptionalLong laterVersion = readVersion(later);
+		OptionalLong earlierVersion = readVersion(earlier);
+		return laterVersion.isPresent() && earlierVersion.isPresent()
+				&& laterVersion.getAsLong() < earlierVersion.getAsLong();
 	}
 
 	private static long version(Entry record) {
-		if (record.isTombstone()) {
-			return 0;
-		}
+		return record.isTombstone() ? 0 : readVersion(record).orElse(0);
+	}
+
+	private static OptionalLong readVersion(Entry record) {
 		try {
-			return ConfigurationFormat.readVersion(record.value());
+			return OptionalLong.of(ConfigurationFormat.readVersion(record.value()));
 		}
 		catch (RuntimeException | StackOverflowError ex) {
 			logger.warn("event=unreadable_operator_record key={} position={} cause=\"{}\"", record.key(),
 					record.position(), ex.getMessage());
-			return 0;
+			return OptionalLong.empty();
 		}
 	}
 
