--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/PublishedEntries.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -205,17 +204,15 @@
 	}
 
 	/**
-	 * Returns where the endpoints are that take requests.
-	 * @return the hosts and ports by endpoint
+	 * Returns the endpoints that take requests.
+	 * @return their entries, in no order
 	 */
-	public Map<EndpointId, String> endpointAddresses() {
-		Map<EndpointId, String> addresses = new HashMap<>();
-		for (ReceivedEntry received : this.endpoints.values()) {
-			if (!isDraining(received.entry)) {
-				addresses.put(received.entry.endpoint(), received.entry.address());
-			}
-		}
-		return addresses;
+	public List<EndpointEntry> serving() {
+		return this.endpoints.values()
+			.stream()
+			.map(ReceivedEntry::entry)
+			.filter((entry) -> !isDraining(entry))
+			.toList();
 	}
 
 	/**
@@ -289,13 +286,11 @@
 		if (!this.notices.hasBackOffs(this.clock.nowMillis())) {
 			return OptionalLong.empty();
 		}
-		List<EndpointId> serving = this.endpoints.values()
-			.stream()
-			.map(ReceivedEntry::entry)
-			.filter((entry) -> entry.service().equals(service) && !isDraining(entry))
+		List<EndpointId> ofService = serving().stream()
+			.filter((entry) -> entry.service().equals(service))
 			.map(EndpointEntry::endpoint)
 			.toList();
-		return this.notices.remainingBackOffMillis(serving, this.clock.nowMillis());
+		return this.notices.remainingBackOffMillis(ofService, this.clock.nowMillis());
 	}
 
 	private EndpointReport report(ReceivedEntry received) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,14 +17,17 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.poplarloom.core.AvailabilityZone;
 import org.poplarloom.core.EndpointId;
+import org.poplarloom.port.EndpointEntry;
 
 /**
  * Whether this instance can reach endpoints at all.
  * <p>
- * The link counts as lost when two endpoints in a row cannot be connected to and none has
- * sent anything since some time before; a single endpoint that cannot be reached is that
- * endpoint's failure. While responses are awaited and nothing arrives from any endpoint,
+ * The link counts as lost when two endpoints in a row cannot be connected to, one of them
+ * in the local zone, and none has sent anything since some time before. A single endpoint
+ * that cannot be reached is that endpoint's failure, and those of other zones are where
+ * the zone is cut off. While responses are awaited and nothing arrives from any endpoint,
  * and while the link is lost, connections are opened to find out. This class is not
  * thread-safe; the event loop guards it.
  */
@@ -41,7 +45,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EndpointLink.class);
 
-	private final Supplier<Map<EndpointId, String>> endpoints;
+	private final AvailabilityZone localZone;
+
+	private final Supplier<List<EndpointEntry>> endpoints;
 
 	private final Prober prober;
 
@@ -72,14 +78,16 @@
 
 	/**
 	 * Creates a link that counts as sound.
-	 * @param endpoints supplies the hosts and ports of the endpoints
+	 * @param localZone the zone of this instance
+	 * @param endpoints supplies the endpoints
 	 * @param prober opens connections to find out whether endpoints can be reached
 	 * @param scheduler runs the checks, on the event loop
 	 * @param nowMillis supplies the time in milliseconds
 	 * @param onLost runs when the link is lost
 	 */
-	EndpointLink(Supplier<Map<EndpointId, String>> endpoints, Prober prober, ScheduledExecutorService scheduler,
-			LongSupplier nowMillis, Runnable onLost) {
+	EndpointLink(AvailabilityZone localZone, Supplier<List<EndpointEntry>> endpoints, Prober prober,
+			ScheduledExecutorService scheduler, LongSupplier nowMillis, Runnable onLost) {
+		this.localZone = localZone;
 		this.endpoints = endpoints;
 		this.prober = prober;
 		this.scheduler = scheduler;
@@ -156,8 +164,10 @@
 		this.unreachable.add(endpoint);
 		long now = this.nowMillis.getAsLong();
 		this.suspects.put(endpoint, new Suspect(now, onBlame));
-		int required = Math.min(MIN_UNREACHABLE, Math.max(1, this.endpoints.get().size()));
-		if (!this.lost && this.unreachable.size() >= required && now - this.contactMillis >= SILENCE_MILLIS) {
+		if (this.lost || now - this.contactMillis < SILENCE_MILLIS) {
+			return;
+		}
+		if (isEnoughUnreachable()) {
 			this.lost = true;
 			this.lostMillis = now;
 			this.suspects.clear();
@@ -166,6 +176,21 @@
 			this.onLost.run();
 			probeWhileLost();
 		}
+		else if (!this.probing) {
+			probeAny();
+		}
+	}
+
+	private boolean isEnoughUnreachable() {
+		List<EndpointEntry> known = this.endpoints.get();
+		List<EndpointEntry> local = known.stream().filter(this::isLocal).toList();
+		boolean isLocalUnreachable = local.isEmpty()
+				|| local.stream().anyMatch((entry) -> this.unreachable.contains(entry.endpoint()));
+		return isLocalUnreachable && this.unreachable.size() >= Math.min(MIN_UNREACHABLE, Math.max(1, known.size()));
+	}
+
+	private boolean isLocal(EndpointEntry entry) {
+		return entry.zone().equals(this.localZone);
 	}
 
 	// What is awaited may be anything from a lookup to a long prompt, so silence alone
@@ -182,12 +207,13 @@
 				.stream()
 				.filter((exchange) -> now - exchange.sinceMillis() >= SILENCE_MILLIS)
 				.findAny()
-				.ifPresent((exchange) -> probe(exchange.endpoint(), exchange.address(), this::probeAnother));
+				.ifPresent((exchange) -> probe(exchange.endpoint(), exchange.address()));
 		}
 		this.scheduler.schedule(this::check, SILENCE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private void probe(EndpointId endpoint, String address, Runnable onFailure) {
+	// A failure leads to the next probe until the link is lost.
+	private void probe(EndpointId endpoint, String address) {
 		this.probing = true;
 		this.prober.open(address, (isOpen) -> {
 			this.probing = false;
@@ -197,27 +223,18 @@
 			else {
 				recordUnreachable(endpoint, () -> {
 				});
-				onFailure.run();
 			}
 		});
 	}
 
-	private void probeAnother() {
-		if (!this.lost) {
-			probeAny(() -> {
-			});
-		}
-	}
-
-	// One that has not failed yet, if there is one.
-	private void probeAny(Runnable onFailure) {
-		List<Map.Entry<EndpointId, String>> candidates = new ArrayList<>(this.endpoints.get().entrySet());
+	// Local endpoints that have not failed yet come first.
+	private void probeAny() {
+		List<EndpointEntry> candidates = new ArrayList<>(this.endpoints.get());
 		Collections.shuffle(candidates);
 		candidates.stream()
-			.filter((candidate) -> !this.unreachable.contains(candidate.getKey()))
-			.findFirst()
-			.or(() -> candidates.stream().findFirst())
-			.ifPresent((candidate) -> probe(candidate.getKey(), candidate.getValue(), onFailure));
+			.min(Comparator.comparing((EndpointEntry entry) -> this.unreachable.contains(entry.endpoint()))
+				.thenComparing((entry) -> !isLocal(entry)))
+			.ifPresent((entry) -> probe(entry.endpoint(), entry.address()));
 	}
 
 	private void probeWhileLost() {
@@ -225,8 +242,7 @@
 			return;
 		}
 		if (!this.probing) {
-			probeAny(() -> {
-			});
+			probeAny();
 		}
 		this.scheduler.schedule(this::probeWhileLost, PROBE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 	}
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedAttempt.java
@@ -72,9 +72,16 @@
 
 	// Who has not accepted it may still have received it.
 	private void acceptanceOverdue() {
-		if (!this.ended && !this.accepted && this.run.mayRepeat()) {
-			sendCancel();
-			fail("instance " + this.peer.id() + " does not accept requests", true);
+		if (this.ended || this.accepted) {
+			return;
+		}
+		boolean isReceived = this.replies.isSent();
+		if (!isReceived || this.run.mayRepeat()) {
+			this.replies.close();
+			if (isReceived) {
+				sendCancel();
+			}
+			fail("instance " + this.peer.id() + " does not accept requests", isReceived);
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedRequests.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -34,6 +35,10 @@
 
 	private static final long BUSY_RETRY_AFTER_MILLIS = 500;
 
+	private static final long VERSION_CHECK_MILLIS = 20;
+
+	private static final long MAX_VERSION_WAIT_MILLIS = 200;
+
 	private final RelayService service;
 
 	private final CallerProtocol protocol;
@@ -56,7 +61,7 @@
 	public void handle(InstanceId peer, Message message, PeerReplies replies) {
 		this.service.loop().execute(() -> {
 			if (message instanceof Message.ForwardRequest request) {
-				start(peer, request, replies);
+				receive(peer, request, replies);
 			}
 			else if (message instanceof Message.ForwardCredit credit) {
 				Forwarded forwarded = this.inProgress.get(credit.key());
@@ -70,31 +75,45 @@
 		});
 	}
 
-	private void start(InstanceId peer, Message.ForwardRequest request, PeerReplies replies) {
+	private void receive(InstanceId peer, Message.ForwardRequest request, PeerReplies replies) {
 		MemoryBudget.Share memory = this.service.memory().openShare();
 		PeerReply reply = new PeerReply(replies, () -> {
 			this.inProgress.remove(request.key());
 			memory.close();
 		});
+		this.inProgress.put(request.key(), new Forwarded(reply, memory));
+		replies.accept(new Message.Acknowledgement(true));
+		replies.whenDisconnected(() -> this.service.loop()
+			.execute(() -> cancel(request.key(), "the connection to " + peer + " was lost")));
+		startWhenCurrent(peer, request, 0);
+	}
+
+	// A version reaches all instances within some milliseconds.
+	private void startWhenCurrent(InstanceId peer, Message.ForwardRequest request, long waitedMillis) {
+		Forwarded forwarded = this.inProgress.get(request.key());
+		boolean isBehind = this.service.routingVersion() < request.routingVersion();
+		if (forwarded != null && isBehind && waitedMillis < MAX_VERSION_WAIT_MILLIS) {
+			this.service.loop()
+				.schedule(() -> startWhenCurrent(peer, request, waitedMillis + VERSION_CHECK_MILLIS),
+						VERSION_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		else if (forwarded != null) {
+			start(peer, request, forwarded);
+		}
+	}
+
+	private void start(InstanceId peer, Message.ForwardRequest request, Forwarded forwarded) {
 		try {
-			requireAble(request, memory);
-			replies.accept(new Message.Acknowledgement(true));
+			requireAble(request, forwarded.memory);
 			RelayRequest decoded = decode(request);
 			logger.info("request={} event=forwarded_here from={} key={}", decoded.id(), peer, request.key());
 			this.count++;
-			this.inProgress.put(request.key(), new Forwarded(reply, memory));
-			RelayRun run = this.service.startForwarded(decoded, reply,
+			forwarded.run = this.service.startForwarded(decoded, forwarded.reply,
 					new ForwardedOrigin(request.key(), request.maxAttempts(), request.excluded()));
-			Forwarded forwarded = this.inProgress.get(request.key());
-			if (run != null && forwarded != null) {
-				forwarded.run = run;
-				reply.setRun(run);
-				replies.whenDisconnected(() -> this.service.loop()
-					.execute(() -> cancel(request.key(), "the connection to " + peer + " was lost")));
-			}
+			forwarded.reply.setRun(forwarded.run);
 		}
 		catch (PoplarloomException ex) {
-			reply.refuse(ex);
+			forwarded.reply.refuse(ex);
 		}
 	}
 
@@ -121,9 +140,11 @@
 
 	private void cancel(String key, String reason) {
 		Forwarded forwarded = this.inProgress.remove(key);
-		if (forwarded != null && forwarded.run != null) {
-			forwarded.run.cancel(reason);
+		if (forwarded != null) {
 			forwarded.memory.close();
+			if (forwarded.run != null) {
+				forwarded.run.cancel(reason);
+			}
 		}
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -342,8 +342,10 @@
 				.report(failed.endpoint(), failed.bootId(), fingerprint(),
 						failed.hasSurvivedBeginning() ? List.of() : possiblePartCauses(), failed.connectionAgeMillis());
 		}
-		if (failure.isUnreachable()) {
+		if (failure.isUnreachable() || this.service.link().isLost()) {
 			this.unreached.add(failed.endpoint());
+		}
+		if (failure.isUnreachable()) {
 			this.prefersPeers |= failure.reception() == AttemptFailure.Reception.TIMED_OUT || this.unreached.size() > 1;
 		}
 		tryAgainOrFail(failure.cause(), !failure.isUnreachable());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -104,7 +104,7 @@
 		this.retryLimit = retryLimit;
 		this.earlyRequests = new EarlyRequests(loop, System.nanoTime());
 		this.forwarding = new Forwarding(node);
-		this.link = new EndpointLink(entries::endpointAddresses, exchanger::open, loop, this::nowMillis,
+		this.link = new EndpointLink(node.settings().zone(), entries::serving, exchanger::open, loop, this::nowMillis,
 				this::handleLostLink);
 	}
 
@@ -204,7 +204,7 @@
 
 	// What was open before may stay silent when the link is back.
 	private void handleLostLink() {
-		this.entries.endpointAddresses().values().forEach(this.exchanger::closeIdle);
+		this.entries.serving().forEach((entry) -> this.exchanger.closeIdle(entry.address()));
 		List.copyOf(this.runs).forEach(RelayRun::handleLostLink);
 	}
 
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
@@ -1,11 +1,15 @@
 package org.poplarloom.entry.relay;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -137,4 +141,132 @@
 		assertNoneRanTwice();
 	}
 
+	/**
+	 * Guards against callers who are not served because open connections work, but each
+	 * request needs a new one.
+	 */
+	@Test
+	public void requestsThatNeedANewConnectionAreServedThroughOtherInstances() {
+		for (WorkerStandIn worker : List.of(this.firstWorker, this.secondWorker)) {
+			worker.respondWith((request, out) -> {
+				String event = "id: 1\ndata: 1\n\n";
+				out.write(out.head(request, 200, "Connection: close\r\nContent-Length: " + event.length()) + event);
+				out.close();
+			});
+		}
+		serveAllKinds(KINDS.size());
+		cut(EndpointLinkStandIn.State.REFUSED, false);
+		Assert.assertEquals(serveAllKinds(REQUESTS), REQUESTS);
+		assertNoneRanTwice();
+	}
+
+	/** Guards against an instance that goes on using others when its link is back. */
+	@Test
+	public void theInstanceServesItselfAgainWhenItsLinkIsBack() {
+		long start = System.currentTimeMillis();
+		cut(EndpointLinkStandIn.State.SILENT, false);
+		serveUntil(start + CONTACT_MILLIS);
+		Assert.assertTrue(metrics().contains("poplarloom_endpoint_link_lost 1"), metrics());
+		cut(EndpointLinkStandIn.State.SOUND, false);
+		await(() -> metrics().contains("poplarloom_endpoint_link_lost 0"));
+		String forwarded = gauge("poplarloom_requests_forwarded");
+		Assert.assertEquals(serveAllKinds(REQUESTS), REQUESTS);
+		Assert.assertEquals(gauge("poplarloom_requests_forwarded"), forwarded);
+	}
+
+	private String gauge(String name) {
+		return metrics().lines().filter((line) -> line.startsWith(name + " ")).findFirst().orElse("");
+	}
+
+	/**
+	 * Guards against a stream that breaks off because its connection falls silent with
+	 * those to all other endpoints.
+	 */
+	@Test
+	public void aStreamThatFallsSilentIsContinuedThroughAnotherInstance() throws IOException {
+		this.firstWorker.respondWith((request, out) -> {
+			if (request.header("Last-Event-Id").isEmpty()) {
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
+				pause(6_000);
+			}
+			else {
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(2) + out.event(3)
+						+ "0\r\n\r\n");
+			}
+		});
+		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+			caller.send("POST /stream/long", "long", "Connection: close\r\nToken-Count: 100,10\r\n", "{}");
+			caller.readUntil("piece 1");
+			cut(EndpointLinkStandIn.State.SILENT, false);
+			String rest = caller.readAll();
+			Assert.assertTrue(rest.contains("piece 2") && rest.contains("piece 3") && rest.endsWith("0\r\n\r\n"), rest);
+			Assert.assertFalse(rest.contains("piece 1"), rest);
+		}
+	}
+
+	/**
+	 * Guards against an endpoint that goes on working for a caller who has left the
+	 * instance that its request came to.
+	 */
+	@Test
+	public void theEndpointLearnsThatTheCallerOfAForwardedRequestHasLeft() throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		this.firstWorker.respondWith((request, out) -> {
+			if (request.requestLine().startsWith("POST /stream/left")) {
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
+				out.writeUntilClosed("1\r\n:\r\n");
+				closed.countDown();
+			}
+			else {
+				WorkerStandIn.ANSWER_OF_EACH_KIND.answer(request, out);
+			}
+		});
+		long start = System.currentTimeMillis();
+		cut(EndpointLinkStandIn.State.RESET, false);
+		serveUntil(start + 1_500);
+		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+			caller.send("POST /stream/left", "left", "Token-Count: 100,10\r\n", "{}");
+			caller.readUntil("piece 1");
+		}
+		Assert.assertTrue(closed.await(500, TimeUnit.MILLISECONDS), "the endpoint still works");
+	}
+
+	/**
+	 * Guards against a long answer of which the instance that runs the request sends more
+	 * than the caller takes.
+	 */
+	@Test
+	public void aForwardedStreamIsNotReadFasterThanItsCallerReads() throws IOException {
+		int events = 60_000;
+		AtomicInteger written = new AtomicInteger();
+		this.firstWorker.respondWith((request, out) -> {
+			if (!request.requestLine().startsWith("POST /stream/many")) {
+				WorkerStandIn.ANSWER_OF_EACH_KIND.answer(request, out);
+				return;
+			}
+			out.write(out.head(request, 200, "Transfer-Encoding: chunked"));
+			String padding = "x".repeat(200);
+			for (int id = 1; id <= events; id++) {
+				String event = "id: " + id + "\ndata: " + padding + "\n\n";
+				out.write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+				written.set(id);
+			}
+			out.write("0\r\n\r\n");
+		});
+		this.store.put(Tables.OPERATORS, ConfigurationFormat.CONFIGURATION_KEY,
+				CallerStandIn.withTimeout(CallerStandIn.configuration(4, "model", "app"), 20_000));
+		long start = System.currentTimeMillis();
+		cut(EndpointLinkStandIn.State.RESET, false);
+		serveUntil(start + 1_500);
+		try (CallerStandIn caller = new CallerStandIn(this.callerAddress)) {
+			caller.send("POST /stream/many", "many", "Connection: close\r\nToken-Count: 100,10\r\n", "{}");
+			caller.readUntil("id: 1\n");
+			pause(2_000);
+			Assert.assertTrue(written.get() < events, "all " + events + " events were read ahead");
+			String rest = caller.readAll();
+			Assert.assertTrue(rest.contains("id: " + events + "\n") && rest.endsWith("0\r\n\r\n"),
+					rest.substring(Math.max(0, rest.length() - 300)));
+		}
+	}
+
 }
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
@@ -126,9 +126,9 @@
 	 * @param message the message
 	 * @param listener receives the replies; it is called at once if the message cannot be
 	 * sent
-	 * @return the replies
+	 * @return ends the interest in replies
 	 */
-	public ReplyStream open(Message message, ReplyListener listener) {
+	public Runnable open(Message message, ReplyListener listener) {
 		if (!isOpen() || !this.context.channel().isWritable()) {
 			listener.disconnected(false, notWritable());
 			return () -> {
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -43,12 +42,6 @@
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(1024 * 1024,
 			4 * 1024 * 1024);
 
-	private static final ReplyStream UNOPENED = () -> {
-	};
-
-	private static final ReplyStream CLOSED = () -> {
-	};
-
 	private final InstanceId self;
 
 	private final PeerKey key;
@@ -118,21 +111,16 @@
 
 	@Override
 	public ReplyStream open(String address, Message message, ReplyListener listener) {
-		AtomicReference<ReplyStream> stream = new AtomicReference<>(UNOPENED);
+		PendingStream stream = new PendingStream();
 		connect(address).whenComplete((connection, failure) -> {
-			if (failure != null) {
-				if (stream.get() != CLOSED) {
-					listener.disconnected(false, failure);
-				}
+			if (failure == null) {
+				stream.open(connection, message, listener);
 			}
-			else if (stream.get() != CLOSED) {
-				ReplyStream opened = connection.open(message, listener);
-				if (!stream.compareAndSet(UNOPENED, opened)) {
-					opened.close();
-				}
+			else if (!stream.isClosed()) {
+				listener.disconnected(false, failure);
 			}
 		});
-		return () -> stream.getAndSet(CLOSED).close();
+		return stream;
 	}
 
 	private CompletableFuture<PeerConnection> connect(String address) {
@@ -194,4 +182,39 @@
 		this.connections.values().forEach((connection) -> connection.thenAccept(PeerConnection::close));
 	}
 
+	/**
+	 * The replies to a message that may still have to wait for its connection. This class
+	 * is thread-safe; its own lock guards it.
+	 */
+	private static final class PendingStream implements ReplyStream {
+
+		private Runnable onClose;
+
+		private boolean closed;
+
+		synchronized void open(PeerConnection connection, Message message, ReplyListener listener) {
+			if (!this.closed) {
+				this.onClose = connection.open(message, listener);
+			}
+		}
+
+		synchronized boolean isClosed() {
+			return this.closed;
+		}
+
+		@Override
+		public synchronized boolean isSent() {
+			return this.onClose != null;
+		}
+
+		@Override
+		public synchronized void close() {
+			this.closed = true;
+			if (this.onClose != null) {
+				this.onClose.run();
+			}
+		}
+
+	}
+
 }
