--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedRequests.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/ForwardedRequests.java
@@ -115,6 +115,10 @@
 		catch (PoplarloomException ex) {
 			forwarded.reply.refuse(ex);
 		}
+		catch (IllegalArgumentException ex) {
+			forwarded.reply.refuse(new PoplarloomException(ErrorCode.INVALID_REQUEST,
+					"request of " + peer + " is not HTTP: " + ex.getMessage()));
+		}
 	}
 
 	private void requireAble(Message.ForwardRequest request, MemoryBudget.Share memory) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/Forwarding.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/Forwarding.java
@@ -18,13 +18,17 @@
  * Chooses the instances that run requests for this one while it cannot reach the
  * endpoints.
  * <p>
- * Instances of the local zone come first, in random order; one that could not help is
- * left out for some time. This class is not thread-safe; the event loop guards it.
+ * Instances of the local zone come first, in random order, unless some of them could not
+ * help: then the zone may be cut off, and those of others come first. One that could not
+ * help is left out for some time. This class is not thread-safe; the event loop guards
+ * it.
  */
 final class Forwarding {
 
 	private static final long AVOIDANCE_MILLIS = 1_000;
 
+	private static final int MAX_LOCAL_TRIES = 2;
+
 	private final Node node;
 
 	private final Map<InstanceId, Long> avoidedUntilMillis = new HashMap<>();
@@ -44,12 +48,14 @@
 		long now = this.node.clock().nowMillis();
 		this.avoidedUntilMillis.values().removeIf((until) -> until <= now);
 		AvailabilityZone localZone = this.node.settings().zone();
+		boolean prefersLocal = tried.size() < MAX_LOCAL_TRIES;
 		List<InstanceView.Instance> candidates = new ArrayList<>(this.node.instances().all());
 		candidates.removeIf((instance) -> instance.id().equals(this.node.settings().instance())
 				|| tried.contains(instance.id()) || this.avoidedUntilMillis.containsKey(instance.id()));
 		Collections.shuffle(candidates);
 		return candidates.stream()
-			.min(Comparator.comparing((InstanceView.Instance instance) -> !instance.zone().equals(localZone)));
+			.min(Comparator
+				.comparing((InstanceView.Instance instance) -> instance.zone().equals(localZone) != prefersLocal));
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -277,6 +277,10 @@
 		if (this.endpointFailure != null) {
 			answer(this.endpointFailure.answer(), this.endpointFailure.body());
 		}
+		else if (this.origin != null && !this.mayHaveRun && !this.unreached.isEmpty()) {
+			// Lets the instance that has the caller try another one.
+			sendRefusal(new PoplarloomException(ErrorCode.NOT_READY, "endpoints cannot be reached from here"));
+		}
 		else {
 			sendRefusal(refusal(cause));
 		}
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayUnreachableEndpointsTests.java
@@ -155,7 +155,7 @@
 			});
 		}
 		serveAllKinds(KINDS.size());
-		cut(EndpointLinkStandIn.State.REFUSED, false);
+		cut(EndpointLinkStandIn.State.REFUSED, true);
 		Assert.assertEquals(serveAllKinds(REQUESTS), REQUESTS);
 		assertNoneRanTwice();
 	}
@@ -204,6 +204,18 @@
 		}
 	}
 
+	private static void writeEventsUntilClosed(WorkerStandIn.ResponseWriter out) {
+		try {
+			for (int id = 1; true; id++) {
+				out.write(out.event(id));
+				pause(20);
+			}
+		}
+		catch (IOException ex) {
+			// The connection was closed.
+		}
+	}
+
 	/**
 	 * Guards against an endpoint that goes on working for a caller who has left the
 	 * instance that its request came to.
@@ -213,8 +225,8 @@
 		CountDownLatch closed = new CountDownLatch(1);
 		this.firstWorker.respondWith((request, out) -> {
 			if (request.requestLine().startsWith("POST /stream/left")) {
-				out.write(out.head(request, 200, "Transfer-Encoding: chunked") + out.event(1));
-				out.writeUntilClosed("1\r\n:\r\n");
+				out.write(out.head(request, 200, "Transfer-Encoding: chunked"));
+				writeEventsUntilClosed(out);
 				closed.countDown();
 			}
 			else {
--- a/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
+++ b/poplarloom-port/src/main/java/org/poplarloom/port/http/HttpConnection.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -438,6 +439,16 @@
 		}
 	}
 
+	private void reset() {
+		try {
+			this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		catch (ChannelException ex) {
+			logger.debug("address={} event=not_reset cause=\"{}\"", this.address, ex.toString());
+		}
+		this.context.close();
+	}
+
 	void close() {
 		this.isReuseForbidden = true;
 		this.context.close();
@@ -480,8 +491,7 @@
 			HttpConnection.this.current = null;
 			HttpConnection.this.isReuseForbidden = true;
 			if (HttpConnection.this.context != null) {
-				HttpConnection.this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-				HttpConnection.this.context.close();
+				reset();
 			}
 			else {
 				this.request.release();
