--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,8 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts, after the build of the deploy file.
+# Builds the stand-ins of the third review: the project's own and those in standin-3/.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p review/standin-3/target
-javac -nowarn -d review/standin-3/target -cp "$(ls platform/standin/target/poplarloom-platform-standin-*.jar | head -n 1)" review/standin-3/*.java
+rm -rf target/review-3
+mkdir -p target/review-3
+javac -d target/review-3 platform/standin/src/main/java/org/poplarloom/platform/standin/*.java \
+	review/standin-3/*.java
--- a/review/standin-3/Case14.java
+++ b/review/standin-3/Case14.java
@@ -1,42 +1,39 @@
 import java.io.IOException;
 import java.nio.file.Files;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Machines get SIGTERM in turn while clients keep many channels and open and close others.
- * Now and then one of them ends at once instead of completing the requests in progress.
+ * One of two machines is partitioned from all workers for some seconds, more than once.
+ * It passes its requests on to the other machine, which keeps their bodies after their
+ * end.
  */
 public final class Case14 {
 
-	private static final int MACHINES = 3;
+	private static final int BODY_BYTES = 1024 * 1024;
 
-	private static final long LAST_STOP_MILLIS = 84_000;
+	private static final int WORK_MILLIS = 500;
 
-	private static final int KEPT_CHANNELS = 656;
+	private static final long CUT_MILLIS = 5_500;
 
-	private static final int NEW_CHANNEL_CLIENTS = 40;
+	private static final long[] CUTS_AT = { 8_000, 22_000, 36_000, 50_000 };
 
-	private static final int SLOW_CLIENTS = 12;
+	private static final long END_AT = 66_000;
 
-	private static final int SLOW_WORK_MILLIS = 1_500;
+	private static final int USERS_AT_CUT_MACHINE = 8;
 
-	private static final int QUICK_WORK_MILLIS = 10;
+	private static final int USERS_AT_OTHER_MACHINE = 32;
 
-	/** The platform offers no new channels after two checks of readiness, one a second. */
-	private static final long NEW_CHANNELS_AFTER_STOP_MILLIS = 1_500;
+	private static final int USERS_AT_OTHER_MACHINE_IN_CUT = 18;
 
-	private static final long GRACE_MILLIS = 8_000;
-
-	private static final String CONFIG = "{\"version\":1,\"routes\":[" + route("slow") + "," + route("quick")
-			+ "],\"services\":[" + service("slow") + "," + service("quick")
-			+ "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
-			+ "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"team\",\"apiKeys\":[\"" + Fleet.TENANT_KEY
-			+ "\"],\"priority\":1}]}";
+	private static final String CONFIG = "{\"version\":1,\"routes\":[{\"name\":\"docs\",\"host\":\"a.example\","
+			+ "\"pathPrefix\":\"/docs/\",\"kind\":\"idempotent\",\"timeoutMs\":8000,\"targetLatencyMs\":3000,"
+			+ "\"priority\":1,\"service\":\"docs\",\"attempts\":2,\"public\":false}],"
+			+ "\"services\":[{\"name\":\"docs\",\"healthPath\":\"/healthz\",\"maxConns\":400,\"coldPeriodS\":0.0,"
+			+ "\"coldPerS\":0.0}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+			+ "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"team\",\"apiKeys\":[\""
+			+ Fleet.TENANT_KEY + "\"],\"priority\":1}]}";
 
 	private final Fleet fleet;
 
@@ -44,28 +41,19 @@
 
 	private final AtomicInteger served = new AtomicInteger();
 
-	private final AtomicInteger stops = new AtomicInteger();
+	private final AtomicInteger failed = new AtomicInteger();
+
+	private final AtomicInteger lost = new AtomicInteger();
 
-	private final AtomicInteger stopsThatCut = new AtomicInteger();
+	private final byte[] body = new byte[BODY_BYTES];
 
-	private final AtomicInteger cut = new AtomicInteger();
+	private volatile boolean isCut;
 
-	/** One machine at a time is stopped and started. */
-	private final ReentrantLock turn = new ReentrantLock(true);
+	private volatile boolean ended;
 
 	private Case14(Fleet fleet) {
 		this.fleet = fleet;
-	}
-
-	private static String route(String name) {
-		return "{\"name\":\"" + name + "\",\"host\":\"a.example\",\"pathPrefix\":\"/" + name
-				+ "/\",\"kind\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":2000,\"priority\":1,"
-				+ "\"service\":\"" + name + "\",\"attempts\":1,\"public\":false}";
-	}
-
-	private static String service(String name) {
-		return "{\"name\":\"" + name + "\",\"healthPath\":\"/healthz\",\"maxConns\":900,\"coldPeriodS\":0.0,"
-				+ "\"coldPerS\":0.0}";
+		new Random(14).nextBytes(this.body);
 	}
 
 	public static void main(String[] arguments) throws Exception {
@@ -78,225 +66,115 @@
 		}
 	}
 
-	private int run() throws Exception {
+	private int run() throws IOException {
 		this.fleet.store.put("keyed.op", "config", CONFIG);
-		for (int i = 0; i < 2; i++) {
-			startWorker("s" + i, "slow", SLOW_WORK_MILLIS);
-			startWorker("q" + i, "quick", QUICK_WORK_MILLIS);
-		}
-		for (int i = 0; i < MACHINES; i++) {
-			this.fleet.startDaemon("edge-a-" + (i + 1), "zone-a", "");
+		for (int i = 0; i < 4; i++) {
+			this.fleet.startWorker("w" + i, "docs", "zone-a", 16).script = (worker, request, socket, out) -> {
+				Fleet.sleep(WORK_MILLIS);
+				Fleet.writeAnswer(request, out, "done");
+			};
 		}
+		Fleet.Daemon cut = this.fleet.startDaemon("edge-a-1", "zone-a", "");
+		Fleet.Daemon other = this.fleet.startDaemon("edge-a-2", "zone-a", "");
 		this.fleet.awaitReady();
-		Fleet.sleep(3_000);
-		List<Thread> machines = new ArrayList<>();
-		for (Fleet.Daemon daemon : this.fleet.daemons) {
-			Machine machine = new Machine(daemon);
-			Thread thread = new Thread(machine::run, daemon.name);
-			thread.start();
-			machines.add(thread);
+		Fleet.sleep(4_000);
+		for (int i = 0; i < USERS_AT_CUT_MACHINE + USERS_AT_OTHER_MACHINE; i++) {
+			boolean isAtCut = i < USERS_AT_CUT_MACHINE;
+			boolean restsInCut = i >= USERS_AT_CUT_MACHINE + USERS_AT_OTHER_MACHINE_IN_CUT;
+			Thread user = new Thread(() -> use(isAtCut ? cut : other, restsInCut), "user");
+			user.setDaemon(true);
+			user.start();
 		}
-		for (Thread machine : machines) {
-			machine.join();
+		long start = this.fleet.millis();
+		for (long at : CUTS_AT) {
+			awaitTime(start + at);
+			if (Fleet.TROUBLE && other.process.isAlive()) {
+				cut(cut);
+			}
 		}
-		this.fleet.note("requests " + this.requests + ", served " + this.served + ", stops " + this.stops
-				+ ", stops that cut requests at sound workers " + this.stopsThatCut + ", requests passed on and cut "
-				+ this.cut);
-		return (this.cut.get() > 0) ? 1 : 0;
-	}
-
-	private void startWorker(String id, String service, int workMillis) throws IOException {
-		this.fleet.startWorker(id, service, "zone-a", 128).script = (worker, request, socket, out) -> {
-			Fleet.sleep(workMillis);
-			Fleet.writeAnswer(request, out, "done");
-		};
-	}
-
-	private static Thread startThread(Runnable task) {
-		Thread thread = new Thread(task, "client");
-		thread.setDaemon(true);
-		thread.start();
-		return thread;
+		awaitTime(start + END_AT);
+		Fleet.sleep(500);
+		this.ended = true;
+		List<Fleet.Daemon> gone = this.fleet.daemons.stream().filter((daemon) -> !daemon.process.isAlive()).toList();
+		for (Fleet.Daemon daemon : gone) {
+			List<String> lines = Files.readAllLines(daemon.log());
+			this.fleet.note(daemon.name + " ended by itself with exit code " + daemon.process.exitValue()
+					+ "; its log ends: " + String.join(" | ", lines.subList(Math.max(0, lines.size() - 2), lines.size())));
+		}
+		this.fleet.note("requests " + this.requests + ", served " + this.served + ", failed or refused " + this.failed
+				+ ", passed on to a sound worker and closed without an answer " + this.lost
+				+ ", processes that ended by themselves " + gone.size());
+		return (this.lost.get() > 3) ? 1 : 0;
 	}
 
-	private static String head(String id) {
-		return "Host: a.example\nRequest-Id: " + id + "\nDeadline-Ms: 5000\nKey: " + Fleet.TENANT_KEY;
+	private void awaitTime(long millis) {
+		while (this.fleet.millis() < millis && this.fleet.daemons.stream().allMatch((daemon) -> daemon.process.isAlive())) {
+			Fleet.sleep(50);
+		}
 	}
 
-	/**
-	 * A machine with its clients.
-	 */
-	private final class Machine {
-
-		private final Fleet.Daemon daemon;
-
-		private final AtomicInteger newChannels = new AtomicInteger();
-
-		private final AtomicInteger cutInLife = new AtomicInteger();
-
-		private volatile boolean admits = true;
-
-		/** Many users come at once to the machine that is stopped next. */
-		private volatile boolean isCrowded;
-
-		private volatile boolean isStopping;
-
-		private volatile long stopMillis;
-
-		Machine(Fleet.Daemon daemon) {
-			this.daemon = daemon;
+	private void cut(Fleet.Daemon daemon) throws IOException {
+		this.isCut = true;
+		Fleet.sleep(WORK_MILLIS + 300);
+		int channels = 0;
+		for (Fleet.Worker worker : this.fleet.workers) {
+			worker.closePort();
+			channels += worker.reset(daemon);
 		}
+		this.fleet.note(daemon.name + " is partitioned from all workers, " + channels + " channels are reset");
+		long end = this.fleet.millis() + CUT_MILLIS;
+		while (this.fleet.millis() < end) {
+			Fleet.sleep(50);
+		}
+		for (Fleet.Worker worker : this.fleet.workers) {
+			worker.openPort();
+		}
+		this.isCut = false;
+		this.fleet.note("the partition has ended; served so far " + this.served + ", failed or refused " + this.failed);
+	}
 
-		void run() {
-			for (int i = 0; i < SLOW_CLIENTS; i++) {
-				startThread(() -> use("/slow/x", true));
-			}
-			for (int i = 0; i < NEW_CHANNEL_CLIENTS; i++) {
-				startThread(() -> use("/quick/x", false));
+	private void use(Fleet.Daemon daemon, boolean restsInCut) {
+		Fleet.Client channel = null;
+		while (!this.ended) {
+			if (restsInCut && this.isCut) {
+				Fleet.sleep(50);
+				continue;
 			}
+			String id = "r" + this.requests.incrementAndGet();
 			try {
-				while (Case14.this.fleet.millis() < LAST_STOP_MILLIS) {
-					stopInTurn();
+				if (channel == null) {
+					channel = new Fleet.Client(daemon.ip, daemon.callerPort);
 				}
-			}
-			catch (IOException | InterruptedException ex) {
-				Case14.this.fleet.note(this.daemon.name + " is given up: " + ex);
-			}
-			this.admits = false;
-		}
-
-		private void stopInTurn() throws IOException, InterruptedException {
-			Fleet.sleep(1_500);
-			Case14.this.turn.lock();
-			try {
-				List<Fleet.Client> kept = openChannels();
-				this.isCrowded = true;
-				Fleet.sleep(300);
-				if (Fleet.TROUBLE && Case14.this.fleet.millis() < LAST_STOP_MILLIS) {
-					stop(kept.size());
+				Fleet.Answer answer = channel.send("POST", "/docs/x", "Host: a.example\nRequest-Id: " + id
+						+ "\nDeadline-Ms: 8000\nKey: " + Fleet.TENANT_KEY, this.body, 10_000);
+				if (answer.status == 200) {
+					this.served.incrementAndGet();
 				}
 				else {
-					Fleet.sleep(3_000);
+					this.failed.incrementAndGet();
+					String retryAfter = answer.header("Retry-After");
+					Fleet.sleep(retryAfter.isEmpty() ? 500 : (long) (1_000 * Double.parseDouble(retryAfter)));
 				}
-				for (Fleet.Client channel : kept) {
+				if ("close".equalsIgnoreCase(answer.header("Connection"))) {
 					channel.close();
-				}
-			}
-			finally {
-				this.isCrowded = false;
-				Case14.this.turn.unlock();
-			}
-		}
-
-		private void stop(int keptChannels) throws IOException, InterruptedException {
-			int channelsBefore = this.newChannels.getAndSet(0);
-			this.cutInLife.set(0);
-			this.stopMillis = Case14.this.fleet.millis();
-			this.isStopping = true;
-			this.daemon.signal("TERM");
-			long newChannelsEnd = this.stopMillis + NEW_CHANNELS_AFTER_STOP_MILLIS;
-			boolean hasEnded = false;
-			while (!hasEnded && Case14.this.fleet.millis() < this.stopMillis + GRACE_MILLIS) {
-				hasEnded = this.daemon.process.waitFor(20, TimeUnit.MILLISECONDS);
-				this.admits &= !hasEnded && Case14.this.fleet.millis() < newChannelsEnd;
-			}
-			long tookMillis = Case14.this.fleet.millis() - this.stopMillis;
-			this.admits = false;
-			if (!hasEnded) {
-				this.daemon.signal("KILL");
-				this.daemon.process.waitFor();
-			}
-			Fleet.sleep(300);
-			int lost = this.cutInLife.get();
-			Case14.this.stops.incrementAndGet();
-			Case14.this.stopsThatCut.addAndGet((lost > 0) ? 1 : 0);
-			Case14.this.cut.addAndGet(lost);
-			Case14.this.fleet.note(this.daemon.name + " ended after " + tookMillis + " ms; " + keptChannels
-					+ " channels kept, " + channelsBefore + " others in this life; requests that were passed on and cut "
-					+ lost);
-			List<String> trace = Files.readAllLines(this.daemon.log())
-				.stream()
-				.filter((line) -> line.startsWith("Exception in thread"))
-				.toList();
-			if (!trace.isEmpty()) {
-				Case14.this.fleet.note("the log of " + this.daemon.name + ": " + trace.get(0));
-			}
-			this.isCrowded = false;
-			this.daemon.start();
-			long end = Case14.this.fleet.millis() + 10_000;
-			while (!this.daemon.isReady() && Case14.this.fleet.millis() < end) {
-				Fleet.sleep(50);
-			}
-			this.isStopping = false;
-			this.admits = true;
-		}
-
-		private List<Fleet.Client> openChannels() throws InterruptedException {
-			List<Fleet.Client> kept = Collections.synchronizedList(new ArrayList<>());
-			List<Thread> threads = new ArrayList<>();
-			for (int i = 0; i < 16; i++) {
-				threads.add(startThread(() -> {
-					for (int k = 0; k < KEPT_CHANNELS / 16; k++) {
-						try {
-							Fleet.Client channel = new Fleet.Client(this.daemon.ip, this.daemon.callerPort);
-							kept.add(channel);
-							channel.send("POST", "/quick/x", head("k" + Case14.this.requests.incrementAndGet()), new byte[0],
-									6_000);
-						}
-						catch (IOException ex) {
-							Case14.this.fleet.note("a kept channel could not be used: " + ex.getMessage());
-						}
-					}
-				}));
-			}
-			for (Thread thread : threads) {
-				thread.join();
-			}
-			return kept;
-		}
-
-		private void use(String target, boolean keepsChannel) {
-			Fleet.Client channel = null;
-			while (true) {
-				if (!this.admits || (!keepsChannel && !this.isCrowded)) {
-					channel = null;
-					Fleet.sleep(20);
-					continue;
-				}
-				String id = "r" + Case14.this.requests.incrementAndGet();
-				long sentMillis = Case14.this.fleet.millis();
-				try {
-					if (channel == null) {
-						channel = new Fleet.Client(this.daemon.ip, this.daemon.callerPort);
-						this.newChannels.incrementAndGet();
-					}
-					Fleet.Answer answer = channel.send("POST", target, head(id), new byte[0], 8_000);
-					if (answer.status == 200) {
-						Case14.this.served.incrementAndGet();
-					}
-					if (!keepsChannel || "close".equalsIgnoreCase(answer.header("Connection"))) {
-						channel.close();
-						channel = null;
-					}
-				}
-				catch (IOException ex) {
-					recordEnd(id, target, sentMillis, ex);
 					channel = null;
-					Fleet.sleep(100);
 				}
 			}
-		}
-
-		private void recordEnd(String id, String target, long sentMillis, IOException cause) {
-			boolean isPassedOn = Case14.this.fleet.workers.stream().anyMatch((worker) -> worker.runs.containsKey(id));
-			if (isPassedOn && this.isStopping) {
-				this.cutInLife.incrementAndGet();
-				Case14.this.fleet.note("request " + id + " for " + target + ", sent " + (sentMillis - this.stopMillis)
-						+ " ms after SIGTERM, was passed on by " + this.daemon.name + " and its channel ended: "
-						+ cause.getMessage());
+			catch (IOException ex) {
+				recordEnd(id, daemon, channel, ex);
+				channel = null;
+				Fleet.sleep(300);
 			}
 		}
+	}
 
+	private void recordEnd(String id, Fleet.Daemon daemon, Fleet.Client channel, IOException cause) {
+		boolean isPassedOn = this.fleet.workers.stream().anyMatch((worker) -> worker.runs.containsKey(id));
+		if (channel != null && isPassedOn && !this.ended) {
+			this.lost.incrementAndGet();
+			this.fleet.note("request " + id + " was passed on by " + daemon.name + " and its channel ended: "
+					+ cause.getMessage() + (this.isCut ? ", during the partition" : ""));
+		}
 	}
 
 }
--- a/review/standin-3/Fleet.java
+++ b/review/standin-3/Fleet.java
@@ -423,6 +423,9 @@
 
 		volatile ServerSocket server;
 
+		/** The process whose new channels are reset, or null. */
+		volatile Daemon refused;
+
 		volatile long born;
 
 		volatile String state = "ready";
@@ -519,6 +522,12 @@
 			while (!opened.isClosed()) {
 				try {
 					Socket socket = opened.accept();
+					Daemon cut = this.refused;
+					if (cut != null && cut.localPorts().contains(socket.getPort())) {
+						socket.setSoLinger(true, 0);
+						socket.close();
+						continue;
+					}
 					this.sockets.add(socket);
 					Thread thread = new Thread(() -> serve(socket), "connection of " + this.id);
 					thread.setDaemon(true);
