--- a/review/standin-3/Fleet.java
+++ b/review/standin-3/Fleet.java
@@ -8,11 +8,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -164,9 +164,6 @@
 
 		final int readyPort;
 
-		/** The way of the process to the store. */
-		final Link storeLink;
-
 		private final String extraSettings;
 
 		volatile Process process;
@@ -181,7 +178,6 @@
 			this.extraSettings = extraSettings;
 			this.callerPort = freePort(ip);
 			this.readyPort = freePort(ip);
-			this.storeLink = new Link(ip, Fleet.this.store.address());
 		}
 
 		void start() throws IOException {
@@ -196,7 +192,7 @@
 					"contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform,spans",
 					"bounds.contactMs=3000", "bounds.drainMs=2000", "bounds.graceS=8", "bounds.configMs=2000",
 					"bounds.retryBudgetRatio=0.2", "bounds.budgetSlack=217",
-					"platform.address=" + this.storeLink.address(), "platform.form=log", this.extraSettings, ""));
+					"platform.address=" + Fleet.this.store.address(), "platform.form=log", this.extraSettings, ""));
 			String deploy = Files.readString(Path.of("deploy/system.toml"));
 			List<String> command = List.of(match(deploy, "run = \"([^\"]*)\"").split(" "));
 			ProcessBuilder builder = new ProcessBuilder(command);
@@ -224,7 +220,7 @@
 
 		/** Returns the local ports of the TCP sockets that the process has open. */
 		Set<Integer> localPorts() throws IOException {
-			Set<String> inodes = new java.util.HashSet<>();
+			Set<String> inodes = new HashSet<>();
 			File[] descriptors = new File("/proc/" + this.process.pid() + "/fd").listFiles();
 			for (File descriptor : (descriptors != null) ? descriptors : new File[0]) {
 				try {
@@ -237,7 +233,7 @@
 					// The process has closed it.
 				}
 			}
-			Set<Integer> ports = new java.util.HashSet<>();
+			Set<Integer> ports = new HashSet<>();
 			for (String table : new String[] { "/proc/net/tcp", "/proc/net/tcp6" }) {
 				for (String line : Files.exists(Path.of(table)) ? Files.readAllLines(Path.of(table)) : List.<String>of()) {
 					String[] fields = line.trim().split("\\s+");
@@ -261,102 +257,6 @@
 
 	}
 
-	/**
-	 * A way to a server, which can fall silent: what is sent on it then is lost, and so are
-	 * the channels that carried it.
-	 */
-	static final class Link {
-
-		private final ServerSocket listener;
-
-		private final InetSocketAddress target;
-
-		private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-
-		private final Set<Socket> silentSockets = ConcurrentHashMap.newKeySet();
-
-		private volatile boolean silent;
-
-		Link(String host, String target) throws IOException {
-			this.listener = new ServerSocket(0, 100, InetAddress.getByName(host));
-			int colon = target.lastIndexOf(':');
-			this.target = new InetSocketAddress(target.substring(0, colon), Integer.parseInt(target.substring(colon + 1)));
-			startThread(this::accept);
-		}
-
-		String address() {
-			return this.listener.getInetAddress().getHostAddress() + ":" + this.listener.getLocalPort();
-		}
-
-		/** Lets nothing through from now on, or ends that. */
-		void setSilent(boolean isSilent) {
-			if (isSilent) {
-				this.silentSockets.addAll(this.sockets);
-			}
-			this.silent = isSilent;
-			if (!isSilent) {
-				this.silentSockets.forEach(Link::close);
-				this.silentSockets.clear();
-			}
-		}
-
-		private void accept() {
-			while (true) {
-				try {
-					Socket near = this.listener.accept();
-					Socket far = new Socket();
-					far.connect(this.target, 1_000);
-					this.sockets.add(near);
-					this.sockets.add(far);
-					if (this.silent) {
-						this.silentSockets.add(near);
-						this.silentSockets.add(far);
-					}
-					startThread(() -> copy(near, far));
-					startThread(() -> copy(far, near));
-				}
-				catch (IOException ex) {
-					return;
-				}
-			}
-		}
-
-		private void copy(Socket from, Socket to) {
-			byte[] bytes = new byte[1 << 16];
-			try {
-				for (int count = from.getInputStream().read(bytes); count >= 0; count = from.getInputStream().read(bytes)) {
-					if (!this.silentSockets.contains(from)) {
-						to.getOutputStream().write(bytes, 0, count);
-					}
-				}
-			}
-			catch (IOException ex) {
-				// One of the two ends has closed the channel.
-			}
-			if (!this.silentSockets.contains(from)) {
-				close(from);
-				close(to);
-			}
-			this.sockets.remove(from);
-		}
-
-		private static void startThread(Runnable task) {
-			Thread thread = new Thread(task, "link");
-			thread.setDaemon(true);
-			thread.start();
-		}
-
-		private static void close(Socket socket) {
-			try {
-				socket.close();
-			}
-			catch (IOException ex) {
-				// It is of no more use.
-			}
-		}
-
-	}
-
 	private static String match(String text, String pattern) throws IOException {
 		Matcher matcher = Pattern.compile(pattern).matcher(text);
 		if (!matcher.find()) {
@@ -665,9 +565,6 @@
 
 		final Socket socket = new Socket();
 
-		/** Bytes of the answer that has not arrived whole, for the record. */
-		boolean answerBegun;
-
 		Client(String host, int port) throws IOException {
 			this.socket.setTcpNoDelay(true);
 			this.socket.connect(new InetSocketAddress(host, port), 1_000);
@@ -679,7 +576,6 @@
 		 * @throws IOException if the channel ends before, or after the timeout
 		 */
 		Answer send(String method, String target, String headers, byte[] body, int timeoutMillis) throws IOException {
-			this.answerBegun = false;
 			OutputStream out = this.socket.getOutputStream();
 			String length = (body.length > 0 || method.equals("POST")) ? "Content-Length: " + body.length + "\r\n" : "";
 			out.write((method + " " + target + " HTTP/1.1\r\n" + headers.trim().replaceAll("\\s*\n\\s*", "\r\n") + "\r\n"
@@ -692,7 +588,6 @@
 			if (status == null) {
 				throw new IOException("channel closed");
 			}
-			this.answerBegun = true;
 			Map<String, String> answerHeaders = readHeaders(in);
 			String content = "chunked".equals(answerHeaders.get("Transfer-Encoding")) ? readChunks(in)
 					: new String(readFully(in, Integer.parseInt(answerHeaders.getOrDefault("Content-Length", "0"))),
@@ -731,8 +626,4 @@
 
 	}
 
-	static boolean isTimeout(IOException ex) {
-		return ex instanceof SocketTimeoutException;
-	}
-
 }
