Move the drain before the end of a process to a class of its own

RelayDaemon keeps what a stop does to the instance; GracefulStop decides when. Nothing else changes, so that the failure of the stop can be tested without a process.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -50,31 +49,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayDaemon.class);
 
-	/**
-	 * The load balancer checks readiness once a second and takes an instance out after
-	 * two failed checks.
-	 */
-	private static final long MIN_DRAIN_MILLIS = 3_000;
-
-	/**
-	 * Fraction of the grace time in which new requests are still admitted; the rest is
-	 * for their answers.
-	 */
-	private static final double ADMISSION_RATIO = 0.33;
-
-	/** Part of the grace time that is reserved for the exit of the process. */
-	private static final long EXIT_RESERVE_MILLIS = 600;
-
-	/** Part of the exit reserve in which the last answers are written. */
-	private static final long LAST_ANSWERS_MILLIS = 200;
-
 	/** An endpoint that reads nothing of a body for so long holds its memory in vain. */
 	private static final long BODY_STALL_MILLIS = 5_000;
 
-	private static final long DRAIN_POLL_MILLIS = 100;
-
-	private static final long LAST_ANSWERS_POLL_MILLIS = 10;
-
 	private final PlatformSettings platform;
 
 	private final Settings settings;
@@ -272,70 +249,57 @@
 	 * that still runs at the end is broken off.
 	 */
 	public void stopGracefully() {
-		logger.info("event=stopping busy={}", this.callerServer.requestsInProgress());
 		this.stopping = true;
-		long startNanos = System.nanoTime();
-		this.loop.execute(this.callerServer::disableKeepAlive);
-		this.loop.schedule(this.relay::stopAdmitting, (long) (ADMISSION_RATIO * this.platform.graceMillis()),
-				TimeUnit.MILLISECONDS);
-		this.node.membership().startDraining();
-		this.node.gossiper().broadcast();
-		boolean isInterrupted = false;
-		while (!isInterrupted && !isStopDue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))) {
-			isInterrupted = !sleep(DRAIN_POLL_MILLIS);
-		}
-		endRequests();
+		new GracefulStop(this.loop, new Requests(), this.platform.graceMillis()).run();
 		close();
 	}
 
-	private boolean isStopDue(long elapsedMillis) {
-		return elapsedMillis >= this.platform.graceMillis() - EXIT_RESERVE_MILLIS
-				|| (elapsedMillis >= MIN_DRAIN_MILLIS && onLoop(this::stopAdmittingIfIdle));
+	@Override
+	public void close() {
+		this.stopping = true;
+		this.tables.stop();
+		logger.info("event=stopped");
+		this.node.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	// In one step, so that no request is admitted between the check and the end.
-	private boolean stopAdmittingIfIdle() {
-		boolean isIdle = this.callerServer.requestsInProgress() == 0 && this.forwardedRequests.inProgress() == 0;
-		if (isIdle) {
-			this.relay.stopAdmitting();
+	/**
+	 * The requests in progress at this instance. It is not thread-safe; the event loop
+	 * guards it.
+	 */
+	private final class Requests implements GracefulStop.Drainable {
+
+		@Override
+		public long requestsInProgress() {
+			return RelayDaemon.this.callerServer.requestsInProgress();
 		}
-		return isIdle;
-	}
 
-	private void endRequests() {
-		onLoop(() -> {
-			this.relay.endRequests();
-			return true;
-		});
-		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MILLIS);
-		boolean isWritten = false;
-		while (!isWritten && System.nanoTime() < endNanos) {
-			isWritten = onLoop(() -> this.callerServer.requestsInProgress() == 0) || !sleep(LAST_ANSWERS_POLL_MILLIS);
+		@Override
+		public long forwardedRequestsInProgress() {
+			return RelayDaemon.this.forwardedRequests.inProgress();
 		}
-	}
 
-	private boolean onLoop(Callable<Boolean> task) {
-		return this.loop.submit(task).syncUninterruptibly().getNow();
-	}
+		@Override
+		public void disableKeepAlive() {
+			RelayDaemon.this.callerServer.disableKeepAlive();
+		}
 
-	private static boolean sleep(long millis) {
-		try {
-			Thread.sleep(millis);
-			return true;
+		@Override
+		public void announceStop() {
+			RelayDaemon.this.node.membership().startDraining();
+			RelayDaemon.this.node.gossiper().broadcast();
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
+
+		@Override
+		public void stopAdmitting() {
+			RelayDaemon.this.relay.stopAdmitting();
+		}
+
+		@Override
+		public void endRequests() {
+			RelayDaemon.this.relay.endRequests();
 		}
-	}
 
-	@Override
-	public void close() {
-		this.stopping = true;
-		this.tables.stop();
-		logger.info("event=stopped");
-		this.node.close();
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
 }
