Drain also when a step of the stop fails, and use the instance on its event loop only

Cause: the first line of the stop counted the requests in progress in the thread of the shutdown hook. The count goes through the set of callers' connections, which the event loop changes with each one that opens or closes; the ConcurrentModificationException ended the hook, and the virtual machine with it.

Evidence: the log of each process that ended early, and of no other, has the exception and lacks event=stopping.

Why this works: every step runs on the event loop, so nothing is read while it changes; a step that fails is logged and the next one is taken, so the hook ends only when the requests have ended or the grace time has. The same for a request that cannot be refused or ended, and for the announcement on the chat surface.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -161,8 +161,7 @@
 	public void stopGracefully() {
 		this.stopping = true;
 		long admissionMillis = Math.min(ADMISSION_MILLIS, this.settings.drainMillis());
-		this.node.membership().startDraining();
-		this.node.gossiper().broadcast();
+		announceStop();
 		pause(admissionMillis);
 		this.plannedStop.endAdmission();
 		Future<?> answersWritten = this.server.shutdownGracefully().toCompletableFuture();
@@ -175,6 +174,17 @@
 		close();
 	}
 
+	// The process ends with its shutdown hook, so a failure must not end the drain.
+	private void announceStop() {
+		try {
+			this.node.membership().startDraining();
+			this.node.gossiper().broadcast();
+		}
+		catch (RuntimeException | Error ex) {
+			logger.error("event=stop_step_failed step=announce", ex);
+		}
+	}
+
 	private static void pause(long millis) {
 		try {
 			Thread.sleep(millis);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/GracefulStop.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/GracefulStop.java
@@ -1,7 +1,7 @@
 package org.poplarloom.entry.process;
 
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -12,8 +12,11 @@
  * <p>
  * New requests are admitted during the first third of the grace time; those that no
  * endpoint has received by then are refused. An idle instance continues for at least 3 s,
- * unless the grace time is shorter. This class is immutable and thread-safe; the drained
- * instance belongs to the event loop.
+ * unless the grace time is shorter.
+ * <p>
+ * A step that fails is logged, and the drain continues: the process ends with its
+ * shutdown hook, whatever is in progress. This class is immutable and thread-safe; the
+ * instance is used only on its event loop.
  */
 final class GracefulStop implements Runnable {
 
@@ -65,22 +68,27 @@
 	 */
 	@Override
 	public void run() {
-		logger.info("event=stopping busy={}", this.instance.requestsInProgress());
 		long startNanos = System.nanoTime();
-		this.loop.execute(this.instance::disableKeepAlive);
-		this.loop.schedule(this.instance::stopAdmitting, (long) (ADMISSION_RATIO * this.graceMillis),
-				TimeUnit.MILLISECONDS);
-		this.instance.announceStop();
+		onLoop("count", () -> logger.info("event=stopping busy={}", this.instance.requestsInProgress()));
+		onLoop("disable_keep_alive", this.instance::disableKeepAlive);
+		onLoop("announce", this.instance::announceStop);
+		boolean isAdmitting = true;
 		boolean isInterrupted = false;
-		while (!isInterrupted && !isStopDue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))) {
+		long elapsedMillis = 0;
+		while (!isInterrupted && !isStopDue(elapsedMillis)) {
+			if (isAdmitting && elapsedMillis >= ADMISSION_RATIO * this.graceMillis) {
+				isAdmitting = false;
+				onLoop("stop_admitting", this.instance::stopAdmitting);
+			}
 			isInterrupted = !sleep(DRAIN_POLL_MILLIS);
+			elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
 		}
 		endRequests();
 	}
 
 	private boolean isStopDue(long elapsedMillis) {
-		return elapsedMillis >= this.graceMillis - EXIT_RESERVE_MILLIS
-				|| (elapsedMillis >= MIN_DRAIN_MILLIS && onLoop(this::stopAdmittingIfIdle));
+		return this.loop.isShuttingDown() || elapsedMillis >= this.graceMillis - EXIT_RESERVE_MILLIS
+				|| (elapsedMillis >= MIN_DRAIN_MILLIS && isTrueOnLoop("check_idle", this::stopAdmittingIfIdle));
 	}
 
 	// In one step, so that no request is admitted between the check and the end.
@@ -93,19 +101,31 @@
 	}
 
 	private void endRequests() {
-		onLoop(() -> {
-			this.instance.endRequests();
-			return true;
-		});
+		onLoop("end_requests", this.instance::endRequests);
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MILLIS);
 		boolean isWritten = false;
-		while (!isWritten && System.nanoTime() < endNanos) {
-			isWritten = onLoop(() -> this.instance.requestsInProgress() == 0) || !sleep(LAST_ANSWERS_POLL_MILLIS);
+		while (!isWritten && System.nanoTime() < endNanos && !this.loop.isShuttingDown()) {
+			isWritten = isTrueOnLoop("check_written", () -> this.instance.requestsInProgress() == 0)
+					|| !sleep(LAST_ANSWERS_POLL_MILLIS);
 		}
 	}
 
-	private boolean onLoop(Callable<Boolean> task) {
-		return this.loop.submit(task).syncUninterruptibly().getNow();
+	private void onLoop(String step, Runnable task) {
+		isTrueOnLoop(step, () -> {
+			task.run();
+			return true;
+		});
+	}
+
+	// The event loop rejects tasks when it has ended.
+	private boolean isTrueOnLoop(String step, BooleanSupplier task) {
+		try {
+			return this.loop.submit(task::getAsBoolean).syncUninterruptibly().getNow();
+		}
+		catch (RuntimeException | Error ex) {
+			logger.error("event=stop_step_failed step={}", step, ex);
+			return false;
+		}
 	}
 
 	private static boolean sleep(long millis) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -186,7 +187,7 @@
 	 */
 	public void stopAdmitting() {
 		this.admitting = false;
-		List.copyOf(this.runs).forEach(RelayRun::refuseIfWaiting);
+		forEachRun(RelayRun::refuseIfWaiting);
 	}
 
 	boolean isAdmitting() {
@@ -199,13 +200,25 @@
 	 */
 	public void endRequests() {
 		stopAdmitting();
-		List.copyOf(this.runs).forEach(RelayRun::endAtShutdown);
+		forEachRun(RelayRun::endAtShutdown);
+	}
+
+	// A request that fails must not keep the others from their answers.
+	private void forEachRun(Consumer<RelayRun> action) {
+		for (RelayRun run : List.copyOf(this.runs)) {
+			try {
+				action.accept(run);
+			}
+			catch (RuntimeException | Error ex) {
+				logger.error("request={} event=not_ended", run.request().id(), ex);
+			}
+		}
 	}
 
 	// What was open before may stay silent when the link is back.
 	private void handleLostLink() {
 		this.entries.serving().forEach((entry) -> this.exchanger.closeIdle(entry.address()));
-		List.copyOf(this.runs).forEach(RelayRun::handleLostLink);
+		forEachRun(RelayRun::handleLostLink);
 	}
 
 	/**
