Take only what an endpoint sends as a sign that the link to the endpoints works

Cause: EndpointLink took an opened connection for contact. It cleared each suspicion, so the link never counted as lost, and each request was handed to a connection that lost it, after which an order must not be sent again.

Why this works: a new connection without an answer, or a status request without one, now counts like a connection that cannot be opened, and only an answer ends that. From the first one on, what has not been sent goes through other instances. What was handed over is still never sent again.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointCommand.java
@@ -100,6 +100,19 @@
 				(result) -> onResult.accept(result.inLifetime(endpoint.bootId())));
 	}
 
+	/**
+	 * Finds out on a new connection whether an endpoint answers.
+	 * @param service the relay
+	 * @param address the endpoint's host and port
+	 * @param onResult receives whether it has answered before the timeout
+	 */
+	static void askForStatus(RelayService service, String address, Consumer<Boolean> onResult) {
+		EndpointCommand command = new EndpointCommand(service.protocol(), (notice) -> {
+		}, (result) -> onResult.accept(result.isAnswered()));
+		command.startTimeout(service, service.exchanger()
+			.sendOnNewConnection(address, service.protocol().writeStatusRequest(address), command));
+	}
+
 	private void startTimeout(RelayService service, HttpExchanger.Exchange exchange) {
 		this.timeout = service.loop().schedule(() -> {
 			exchange.cancel();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -24,11 +25,16 @@
 /**
  * Whether this instance can reach endpoints at all.
  * <p>
- * The link counts as lost when two endpoints in a row cannot be connected to, one of them
- * in the local zone, and none has sent anything since some time before. A single endpoint
- * that cannot be reached is that endpoint's failure, and those of other zones are where
- * the zone is cut off. While responses are awaited and nothing arrives from any endpoint,
- * and while the link is lost, connections are opened to find out. This class is not
+ * Only what an endpoint sends proves that it is reached: what stands in between may open
+ * connections for it. The link counts as lost when two endpoints in a row, one of them in
+ * the local zone, cannot be connected to or leave a new connection without an answer, and
+ * none has sent anything since some time before. A single endpoint that fails is that
+ * endpoint's failure, and those of other zones are where the zone is cut off. From the
+ * first connection without an answer on, the link is in doubt, until an endpoint sends
+ * something.
+ * <p>
+ * While the link is in doubt or lost, and while responses are awaited and nothing arrives
+ * from any endpoint, endpoints are asked for their status to find out. This class is not
  * thread-safe; the event loop guards it.
  */
 final class EndpointLink {
@@ -36,9 +42,15 @@
 	/** Longer than endpoints usually stay silent together. */
 	static final long SILENCE_MILLIS = 400;
 
+	/**
+	 * So long a silence is not explained by a connection that can be opened. Until then
+	 * no endpoint is asked for its status, which costs more.
+	 */
+	private static final long LONG_SILENCE_MILLIS = 2 * SILENCE_MILLIS;
+
 	private static final long PROBE_PERIOD_MILLIS = 500;
 
-	private static final int MIN_UNREACHABLE = 2;
+	private static final int MIN_FAILED = 2;
 
 	/** Older failures say nothing about the present. */
 	private static final long SUSPICION_MILLIS = 1_000;
@@ -60,14 +72,24 @@
 	/** When each exchange in progress was started. */
 	private final Map<Object, Awaited> awaited = new HashMap<>();
 
-	/** The endpoints that could not be connected to since one has sent something. */
+	/**
+	 * The endpoints that could not be connected to since one could, or has sent
+	 * something.
+	 */
 	private final Set<EndpointId> unreachable = new HashSet<>();
 
+	/** The endpoints that left a new connection without an answer since then. */
+	private final Set<EndpointId> unanswering = new HashSet<>();
+
 	/** The same since a connection could be opened, with what is to be done then. */
 	private final Map<EndpointId, Suspect> suspects = new HashMap<>();
 
+	/** When an endpoint last sent something. */
 	private long contactMillis;
 
+	/** When a connection could last be opened. */
+	private long connectedMillis;
+
 	private long lostMillis;
 
 	private boolean lost;
@@ -76,11 +98,13 @@
 
 	private boolean checkScheduled;
 
+	private boolean investigationScheduled;
+
 	/**
 	 * Creates a link that counts as sound.
 	 * @param localZone the zone of this instance
 	 * @param endpoints supplies the endpoints
-	 * @param prober opens connections to find out whether endpoints can be reached
+	 * @param prober finds out whether endpoints can be reached
 	 * @param scheduler runs the checks, on the event loop
 	 * @param nowMillis supplies the time in milliseconds
 	 * @param onLost runs when the link is lost
@@ -94,16 +118,26 @@
 		this.nowMillis = nowMillis;
 		this.onLost = onLost;
 		this.contactMillis = nowMillis.getAsLong();
+		this.connectedMillis = this.contactMillis;
 	}
 
 	/**
 	 * Returns whether no endpoint can be reached.
-	 * @return true until a connection can be opened or an endpoint sends something
+	 * @return true until an endpoint sends something
 	 */
 	boolean isLost() {
 		return this.lost;
 	}
 
+	/**
+	 * Returns whether a request that can run once might be lost on the way.
+	 * @return true from the first new connection without an answer until an endpoint
+	 * sends something
+	 */
+	boolean isInDoubt() {
+		return this.lost || !this.unanswering.isEmpty();
+	}
+
 	/**
 	 * Records that an endpoint is expected to send something.
 	 * @param exchange identifies the exchange
@@ -127,13 +161,14 @@
 	}
 
 	/**
-	 * Records that an endpoint has sent something, or that a connection could be opened.
+	 * Records that an endpoint has sent something.
 	 * @param endpoint the endpoint
 	 * @param isNewConnection whether the connection was opened for this
 	 */
 	void recordContact(EndpointId endpoint, boolean isNewConnection) {
 		this.contactMillis = this.nowMillis.getAsLong();
 		this.unreachable.clear();
+		this.unanswering.clear();
 		if (isNewConnection) {
 			blameSuspects(endpoint);
 		}
@@ -143,9 +178,15 @@
 		}
 	}
 
+	private void recordConnected(EndpointId endpoint) {
+		this.connectedMillis = this.nowMillis.getAsLong();
+		this.unreachable.clear();
+		blameSuspects(endpoint);
+	}
+
 	private void blameSuspects(EndpointId reached) {
 		this.suspects.remove(reached);
-		long oldestMillis = this.contactMillis - SUSPICION_MILLIS;
+		long oldestMillis = this.nowMillis.getAsLong() - SUSPICION_MILLIS;
 		List<Suspect> blamed = this.suspects.values()
 			.stream()
 			.filter((suspect) -> suspect.sinceMillis() >= oldestMillis)
@@ -164,29 +205,73 @@
 		this.unreachable.add(endpoint);
 		long now = this.nowMillis.getAsLong();
 		this.suspects.put(endpoint, new Suspect(now, onBlame));
-		if (this.lost || now - this.contactMillis < SILENCE_MILLIS) {
+		if (now - Math.max(this.contactMillis, this.connectedMillis) >= SILENCE_MILLIS) {
+			concludeOr(this::probeAny);
+		}
+	}
+
+	/**
+	 * Records that a connection to an endpoint ended before the endpoint sent anything on
+	 * it. One that was opened before the last contact says nothing about the link, since
+	 * a single reset can end all that are open.
+	 * @param endpoint the endpoint
+	 * @param connectionAgeMillis how long ago the connection was opened, in milliseconds
+	 */
+	void recordUnanswered(EndpointId endpoint, long connectionAgeMillis) {
+		if (connectionAgeMillis > this.nowMillis.getAsLong() - this.contactMillis) {
+			return;
+		}
+		this.unanswering.add(endpoint);
+		investigate();
+	}
+
+	// The silence of the endpoints may just have begun.
+	private void investigate() {
+		if (this.unanswering.isEmpty() || this.investigationScheduled) {
+			return;
+		}
+		long remainingMillis = this.contactMillis + SILENCE_MILLIS - this.nowMillis.getAsLong();
+		if (remainingMillis <= 0) {
+			concludeOr(this::checkAny);
+			return;
+		}
+		this.investigationScheduled = true;
+		this.scheduler.schedule(() -> {
+			this.investigationScheduled = false;
+			investigate();
+		}, remainingMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void concludeOr(Runnable findOut) {
+		if (this.lost) {
 			return;
 		}
-		if (isEnoughUnreachable()) {
+		if (isEnoughFailed()) {
+			long now = this.nowMillis.getAsLong();
 			this.lost = true;
 			this.lostMillis = now;
 			this.suspects.clear();
-			logger.warn("event=endpoint_link_lost silent_ms={} unreachable={}", now - this.contactMillis,
-					this.unreachable);
+			logger.warn("event=endpoint_link_lost silent_ms={} unreachable={} unanswering={}", now - this.contactMillis,
+					this.unreachable, this.unanswering);
 			this.onLost.run();
-			probeWhileLost();
+			checkWhileLost();
 		}
 		else if (!this.probing) {
-			probeAny();
+			findOut.run();
 		}
 	}
 
-	private boolean isEnoughUnreachable() {
+	private boolean isEnoughFailed() {
 		List<EndpointEntry> known = this.endpoints.get();
 		List<EndpointEntry> local = known.stream().filter(this::isLocal).toList();
-		boolean isLocalUnreachable = local.isEmpty()
-				|| local.stream().anyMatch((entry) -> this.unreachable.contains(entry.endpoint()));
-		return isLocalUnreachable && this.unreachable.size() >= Math.min(MIN_UNREACHABLE, Math.max(1, known.size()));
+		boolean isLocalFailed = local.isEmpty() || local.stream().anyMatch(this::hasFailed);
+		Set<EndpointId> failed = new HashSet<>(this.unreachable);
+		failed.addAll(this.unanswering);
+		return isLocalFailed && failed.size() >= Math.min(MIN_FAILED, Math.max(1, known.size()));
+	}
+
+	private boolean hasFailed(EndpointEntry entry) {
+		return this.unreachable.contains(entry.endpoint()) || this.unanswering.contains(entry.endpoint());
 	}
 
 	private boolean isLocal(EndpointEntry entry) {
@@ -200,66 +285,108 @@
 		if (!this.checkScheduled) {
 			return;
 		}
-		long now = this.nowMillis.getAsLong();
-		boolean isSilent = now - this.contactMillis >= SILENCE_MILLIS;
-		if (isSilent && !this.lost && !this.probing) {
+		long silentMillis = this.nowMillis.getAsLong() - this.contactMillis;
+		if (silentMillis >= SILENCE_MILLIS && !this.lost && !this.probing) {
+			boolean isLong = silentMillis >= LONG_SILENCE_MILLIS;
 			this.awaited.values()
 				.stream()
-				.filter((exchange) -> now - exchange.sinceMillis() >= SILENCE_MILLIS)
+				.filter((exchange) -> isAwaitedFor(exchange, isLong ? LONG_SILENCE_MILLIS : SILENCE_MILLIS))
 				.findAny()
-				.ifPresent((exchange) -> probe(exchange.endpoint(), exchange.address()));
+				.ifPresent((exchange) -> findOut(exchange, isLong));
 		}
 		this.scheduler.schedule(this::check, SILENCE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	private boolean isAwaitedFor(Awaited exchange, long millis) {
+		return this.nowMillis.getAsLong() - exchange.sinceMillis() >= millis;
+	}
+
+	private void findOut(Awaited exchange, boolean isLong) {
+		if (isLong) {
+			askForStatus(exchange.endpoint(), exchange.address());
+		}
+		else {
+			probe(exchange.endpoint(), exchange.address());
+		}
+	}
+
 	// A failure leads to the next probe until the link is lost.
 	private void probe(EndpointId endpoint, String address) {
 		this.probing = true;
 		this.prober.open(address, (isOpen) -> {
 			this.probing = false;
 			if (isOpen) {
-				recordContact(endpoint, true);
+				recordConnected(endpoint);
 			}
 			else {
 				recordUnreachable(endpoint, () -> {
 				});
 			}
+			investigate();
+		});
+	}
+
+	// The same for connections that can be opened.
+	private void askForStatus(EndpointId endpoint, String address) {
+		this.probing = true;
+		this.prober.askForStatus(address, (isAnswered) -> {
+			this.probing = false;
+			if (isAnswered) {
+				recordContact(endpoint, true);
+			}
+			else {
+				this.unanswering.add(endpoint);
+				investigate();
+			}
 		});
 	}
 
-	// Local endpoints that have not failed yet come first.
 	private void probeAny() {
+		chooseAny().ifPresent((entry) -> probe(entry.endpoint(), entry.address()));
+	}
+
+	private void checkAny() {
+		chooseAny().ifPresent((entry) -> askForStatus(entry.endpoint(), entry.address()));
+	}
+
+	// Local endpoints that have not failed yet come first.
+	private Optional<EndpointEntry> chooseAny() {
 		List<EndpointEntry> candidates = new ArrayList<>(this.endpoints.get());
 		Collections.shuffle(candidates);
-		candidates.stream()
-			.min(Comparator.comparing((EndpointEntry entry) -> this.unreachable.contains(entry.endpoint()))
-				.thenComparing((entry) -> !isLocal(entry)))
-			.ifPresent((entry) -> probe(entry.endpoint(), entry.address()));
+		return candidates.stream()
+			.min(Comparator.comparing(this::hasFailed).thenComparing((EndpointEntry entry) -> !isLocal(entry)));
 	}
 
-	private void probeWhileLost() {
+	private void checkWhileLost() {
 		if (!this.lost || this.scheduler.isShutdown()) {
 			return;
 		}
 		if (!this.probing) {
-			probeAny();
+			checkAny();
 		}
-		this.scheduler.schedule(this::probeWhileLost, PROBE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+		this.scheduler.schedule(this::checkWhileLost, PROBE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
-	 * Opens connections to endpoints.
+	 * Finds out whether endpoints can be reached. Implementations need not be
+	 * thread-safe; the event loop guards them.
 	 */
-	@FunctionalInterface
 	interface Prober {
 
 		/**
-		 * Opens a connection.
+		 * Opens a connection, which stays open.
 		 * @param address the host and port of the endpoint
 		 * @param onResult receives whether it is open
 		 */
 		void open(String address, Consumer<Boolean> onResult);
 
+		/**
+		 * Asks an endpoint for its status on a connection that was opened recently.
+		 * @param address the host and port of the endpoint
+		 * @param onResult receives whether it has answered within a limited time
+		 */
+		void askForStatus(String address, Consumer<Boolean> onResult);
+
 	}
 
 	/**
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayAttempt.java
@@ -433,6 +433,9 @@
 	public void fail(HttpExchanger.ExchangeException failure) {
 		if (!this.ended) {
 			if (failure.isSent()) {
+				if (failure.isConnectionLost()) {
+					this.run.service().link().recordUnanswered(endpoint(), connectionAgeMillis());
+				}
 				fail(AttemptFailure.executionUnknown(failure.getMessage(), failure.isConnectionLost()), null);
 			}
 			else if (connectionAgeMillis() > 0) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayRun.java
@@ -199,7 +199,7 @@
 	}
 
 	private boolean isForwardingDue() {
-		return this.origin == null && (this.prefersPeers || this.service.link().isLost());
+		return this.origin == null && (this.prefersPeers || this.service.link().isInDoubt());
 	}
 
 	private boolean forward() {
@@ -347,7 +347,7 @@
 				.report(failed.endpoint(), failed.bootId(), fingerprint(),
 						failed.hasSurvivedBeginning() ? List.of() : possiblePartCauses(), failed.connectionAgeMillis());
 		}
-		if (failure.isUnreachable() || this.service.link().isLost()) {
+		if (failure.isUnreachable() || this.service.link().isInDoubt()) {
 			this.unreached.add(failed.endpoint());
 		}
 		if (failure.isUnreachable()) {
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -105,8 +105,8 @@
 		this.retryLimit = retryLimit;
 		this.earlyRequests = new EarlyRequests(loop, System.nanoTime());
 		this.forwarding = new Forwarding(node);
-		this.link = new EndpointLink(node.settings().zone(), entries::serving, exchanger::open, loop, this::nowMillis,
-				this::handleLostLink);
+		this.link = new EndpointLink(node.settings().zone(), entries::serving, new EndpointProber(), loop,
+				this::nowMillis, this::handleLostLink);
 	}
 
 	/**
@@ -376,6 +376,24 @@
 				(name) -> RetryBudget.shared(this.retryLimit.reserve(), this.entries::instanceCount));
 	}
 
+	/**
+	 * Finds out whether endpoints can be reached. It is not thread-safe; the event loop
+	 * guards it.
+	 */
+	private final class EndpointProber implements EndpointLink.Prober {
+
+		@Override
+		public void open(String address, Consumer<Boolean> onResult) {
+			RelayService.this.exchanger.open(address, onResult);
+		}
+
+		@Override
+		public void askForStatus(String address, Consumer<Boolean> onResult) {
+			EndpointCommand.askForStatus(RelayService.this, address, onResult);
+		}
+
+	}
+
 	/**
 	 * The retries that a service bears from all instances together.
 	 *
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/EndpointLinkStandIn.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/EndpointLinkStandIn.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -58,12 +59,25 @@
 	}
 
 	private static void apply(State newState, Channel channel) {
-		if (newState == State.SILENT) {
+		if (newState == State.SILENT || newState == State.ACCEPTED_AND_SILENT) {
 			channel.pipeline().addFirst(new Silence());
 		}
-		else if (newState == State.RESET) {
-			channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
-			channel.close();
+		else if (newState == State.RESET || newState == State.ACCEPTED_AND_RESET) {
+			reset(channel);
+		}
+	}
+
+	private static void reset(Channel channel) {
+		channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+		channel.close();
+	}
+
+	// What stands in between has opened the connection, and passes nothing on.
+	private void accept(Channel channel) {
+		track(channel);
+		channel.pipeline().addFirst(new Silence());
+		if (this.state != State.ACCEPTED_AND_SILENT) {
+			channel.eventLoop().execute(() -> reset(channel));
 		}
 	}
 
@@ -85,6 +99,11 @@
 			}
 			return connected;
 		}
+		if (this.state.isAccepting()) {
+			ChannelFuture connected = bootstrap.connect(address);
+			connected.addListener((result) -> accept(connected.channel()));
+			return connected;
+		}
 		this.refusedCount++;
 		Channel channel = bootstrap.register().channel();
 		ChannelPromise promise = channel.newPromise();
@@ -110,11 +129,11 @@
 	}
 
 	/**
-	 * Returns the states in which the instance cannot open connections.
+	 * Returns the states in which the instance cannot use new connections.
 	 * @return all states but {@link State#SOUND}
 	 */
 	static List<State> cutStates() {
-		return List.of(State.SILENT, State.RESET, State.REFUSED);
+		return Arrays.stream(State.values()).filter((value) -> value != State.SOUND).toList();
 	}
 
 	/**
@@ -132,7 +151,20 @@
 		RESET,
 
 		/** Those that are open work, new ones are refused. */
-		REFUSED
+		REFUSED,
+
+		/** Nothing passes, but new ones are opened. */
+		ACCEPTED_AND_SILENT,
+
+		/** Those that are open are reset, new ones too, right after they are opened. */
+		ACCEPTED_AND_RESET,
+
+		/** Those that are open work, new ones are reset right after they are opened. */
+		NEW_RESET;
+
+		private boolean isAccepting() {
+			return this == ACCEPTED_AND_SILENT || this == ACCEPTED_AND_RESET || this == NEW_RESET;
+		}
 
 	}
 
