Replace connections to peers on which nothing comes back

Cause: PeerNetwork used a connection as long as its channel was open, which a silent one is. Each request for a grant timed out by itself, and the next one took the same connection; heartbeats vanished.

Why this works: after 0.4 s without a byte after a question (2 s after any message) a ping asks the peer, which answers it whatever else it does; without an answer new messages take a second connection, and what the first one owes fails as soon as the peer has proved on the second that it is alive.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -209,6 +209,7 @@
 		}
 		this.localHomes.followMembership();
 		this.grantClient.handleHomeChanges();
+		this.network.replaceSilentConnections();
 	}
 
 	// Only queues need the short period.
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/connection/PeerConnection.java
@@ -36,6 +36,18 @@
 
 	private static final String SERVER_PURPOSE = "server";
 
+	/** A peer replies to most messages within a few milliseconds. */
+	private static final long REPLY_SILENCE_MILLIS = 400;
+
+	/** Messages without a reply say nothing about the connection that carries them. */
+	private static final long SILENCE_MILLIS = 2_000;
+
+	/** A peer answers a ping at once, unless it is paused. */
+	private static final long PING_TIMEOUT_MILLIS = 400;
+
+	/** Instances of all versions answer it. */
+	private static final Message PING = new Message.VersionQuery("");
+
 	private final InstanceId self;
 
 	private final PeerKey key;
@@ -60,6 +72,9 @@
 
 	private volatile InstanceId peer;
 
+	/** What the peer has still to show that it receives. */
+	private final Silence silence = new Silence();
+
 	public PeerConnection(InstanceId self, PeerKey key, PeerHandler handler, PeerTraffic traffic, boolean isServer) {
 		this.self = self;
 		this.key = key;
@@ -86,6 +101,32 @@
 		return this.peer != null && current != null && current.channel().isActive();
 	}
 
+	/**
+	 * Sends a ping if the peer has sent nothing for too long after a message.
+	 */
+	public void pingIfSilent() {
+		if (isOpen() && this.silence.isPingDue()) {
+			request(PING, PING_TIMEOUT_MILLIS).exceptionally((failure) -> null);
+		}
+	}
+
+	/**
+	 * Returns whether the peer has answered neither a ping nor what was sent before it.
+	 * @return true from some hundred milliseconds after the ping until the peer sends
+	 * something
+	 */
+	public boolean isSilent() {
+		return isOpen() && this.silence.isPingOverdue();
+	}
+
+	/**
+	 * Returns whether the peer owes replies.
+	 * @return false if nothing is lost with the connection
+	 */
+	public boolean isAwaited() {
+		return !this.pending.isEmpty() || !this.streams.isEmpty();
+	}
+
 	/**
 	 * Sends a message that needs no reply; it is dropped if the connection is not open or
 	 * the peer does not keep up.
@@ -158,6 +199,7 @@
 	private void write(Envelope envelope) {
 		byte[] content = MessageCodec.write(envelope);
 		this.traffic.countSent(envelope.message().getClass(), content.length);
+		this.silence.recordSent(envelope.correlationId() != 0 && !envelope.isReply());
 		this.context.writeAndFlush(Unpooled.wrappedBuffer(content));
 	}
 
@@ -174,6 +216,7 @@
 		byte[] content = new byte[frame.readableBytes()];
 		frame.readBytes(content);
 		this.traffic.countReceived(content.length);
+		this.silence.end();
 		Envelope envelope = MessageCodec.read(content);
 		if (this.peer == null) {
 			handleHandshake(envelope.message());
@@ -277,4 +320,52 @@
 
 	}
 
+	/**
+	 * The time since the first message after which the peer has sent nothing. This class
+	 * is thread-safe; its own lock guards it.
+	 */
+	private static final class Silence {
+
+		private static final long NONE = Long.MAX_VALUE;
+
+		/** When the first message of all was sent, by the system's nanosecond clock. */
+		private long sentNanos = NONE;
+
+		/** When the first message that needs a reply was sent. */
+		private long questionNanos = NONE;
+
+		private long pingNanos = NONE;
+
+		synchronized void recordSent(boolean needsReply) {
+			long now = System.nanoTime();
+			this.sentNanos = (this.sentNanos == NONE) ? now : this.sentNanos;
+			this.questionNanos = (needsReply && this.questionNanos == NONE) ? now : this.questionNanos;
+		}
+
+		synchronized void end() {
+			this.sentNanos = NONE;
+			this.questionNanos = NONE;
+			this.pingNanos = NONE;
+		}
+
+		// Once in each silence.
+		synchronized boolean isPingDue() {
+			boolean isDue = this.pingNanos == NONE && (hasPassed(this.questionNanos, REPLY_SILENCE_MILLIS)
+					|| hasPassed(this.sentNanos, SILENCE_MILLIS));
+			if (isDue) {
+				this.pingNanos = System.nanoTime();
+			}
+			return isDue;
+		}
+
+		synchronized boolean isPingOverdue() {
+			return hasPassed(this.pingNanos, PING_TIMEOUT_MILLIS);
+		}
+
+		private static boolean hasPassed(long sinceNanos, long millis) {
+			return sinceNanos != NONE && System.nanoTime() - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(millis);
+		}
+
+	}
+
 }
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerNetwork.java
@@ -1,6 +1,9 @@
 package org.poplarloom.wire.process;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,6 +21,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.poplarloom.core.InstanceId;
 import org.poplarloom.wire.connection.PeerConnection;
@@ -32,9 +37,11 @@
 /**
  * The listening socket for peers and the pool of connections to peers.
  * <p>
- * There is at most one open outgoing connection per address; a failed or closed one is
- * replaced at the next use. Every request completes or fails within its timeout, whatever
- * the peer does. This class is thread-safe.
+ * New messages to an address go over one connection; a failed or closed one is replaced
+ * at the next use, and one on which the peer has fallen silent at the next check. What
+ * the silent one owes is awaited beside the new one, until that has proved that the peer
+ * itself is alive. Every request completes or fails within its timeout, whatever the peer
+ * does. This class is thread-safe.
  */
 public final class PeerNetwork implements PeerTransport {
 
@@ -43,6 +50,14 @@
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(1024 * 1024,
 			4 * 1024 * 1024);
 
+	/** The rest waits for the next check, so that a peer is not overrun. */
+	private static final int MAX_REPLACED_PER_CHECK = 16;
+
+	/** A slow peer is not kept busy with handshakes. */
+	private static final long MIN_REPLACEMENT_INTERVAL_MILLIS = 3_000;
+
+	private static final Logger logger = LoggerFactory.getLogger(PeerNetwork.class);
+
 	private final InstanceId self;
 
 	private final PeerKey key;
@@ -59,6 +74,8 @@
 
 	private final Map<String, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
 
+	private final SilentConnections silent = new SilentConnections();
+
 	private Channel listener;
 
 	/**
@@ -193,6 +210,35 @@
 		return connection.authenticated();
 	}
 
+	@Override
+	public void replaceSilentConnections() {
+		this.silent.closeUnneeded();
+		int replaced = 0;
+		for (Map.Entry<String, CompletableFuture<PeerConnection>> entry : this.connections.entrySet()) {
+			CompletableFuture<PeerConnection> current = entry.getValue();
+			if (!current.isDone() || isFailedOrClosed(current)) {
+				continue;
+			}
+			PeerConnection connection = current.join();
+			connection.pingIfSilent();
+			if (connection.isSilent() && replaced < MAX_REPLACED_PER_CHECK && this.silent.mayReplace(entry.getKey())) {
+				replaced++;
+				replace(entry.getKey(), current);
+			}
+		}
+	}
+
+	private void replace(String address, CompletableFuture<PeerConnection> current) {
+		logger.info("peer={} event=silent awaited={}", address, current.join().isAwaited());
+		CompletableFuture<PeerConnection> next = open(address);
+		if (this.connections.replace(address, current, next)) {
+			this.silent.add(address, current.join(), next);
+		}
+		else {
+			next.thenAccept(PeerConnection::close);
+		}
+	}
+
 	@Override
 	public PeerTraffic traffic() {
 		return this.traffic;
@@ -204,6 +250,61 @@
 			this.listener.close();
 		}
 		this.connections.values().forEach((connection) -> connection.thenAccept(PeerConnection::close));
+		this.silent.closeAll();
+	}
+
+	/**
+	 * Connections on which the peer has fallen silent, and which have been replaced. This
+	 * class is thread-safe; its own lock guards it.
+	 */
+	private static final class SilentConnections {
+
+		private final List<Replaced> replaced = new ArrayList<>();
+
+		private final Map<String, Long> replacedNanos = new HashMap<>();
+
+		synchronized boolean mayReplace(String address) {
+			Long last = this.replacedNanos.get(address);
+			return last == null
+					|| System.nanoTime() - last >= TimeUnit.MILLISECONDS.toNanos(MIN_REPLACEMENT_INTERVAL_MILLIS);
+		}
+
+		void add(String address, PeerConnection connection, CompletableFuture<PeerConnection> next) {
+			synchronized (this) {
+				this.replaced.add(new Replaced(connection, next));
+				this.replacedNanos.put(address, System.nanoTime());
+			}
+			next.whenComplete((opened, failure) -> closeUnneeded());
+		}
+
+		// A peer that answers on a new connection would have answered on the old one.
+		void closeUnneeded() {
+			List<PeerConnection> unneeded = new ArrayList<>();
+			synchronized (this) {
+				this.replacedNanos.keySet().removeIf(this::mayReplace);
+				for (Replaced entry : List.copyOf(this.replaced)) {
+					PeerConnection connection = entry.connection();
+					boolean isAlive = entry.next().isDone() && !entry.next().isCompletedExceptionally();
+					if (!connection.isOpen() || !connection.isAwaited() || (isAlive && connection.isSilent())) {
+						this.replaced.remove(entry);
+						unneeded.add(connection);
+					}
+				}
+			}
+			unneeded.forEach(PeerConnection::close);
+		}
+
+		synchronized void closeAll() {
+			this.replaced.forEach((entry) -> entry.connection().close());
+			this.replaced.clear();
+		}
+
+		/**
+		 * A connection and the one that new messages use.
+		 */
+		private record Replaced(PeerConnection connection, CompletableFuture<PeerConnection> next) {
+		}
+
 	}
 
 	/**
--- a/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerTransport.java
+++ b/poplarloom-wire/src/main/java/org/poplarloom/wire/process/PeerTransport.java
@@ -49,6 +49,13 @@
 	 */
 	ReplyStream open(String address, Message message, ReplyListener listener);
 
+	/**
+	 * Looks for connections on which a peer has fallen silent, and replaces them; called
+	 * periodically.
+	 */
+	default void replaceSilentConnections() {
+	}
+
 	/**
 	 * Returns the counters of messages and bytes on all connections to peers.
 	 * @return the counters
