--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/EndpointLink.java
@@ -206,7 +206,7 @@
 		long now = this.nowMillis.getAsLong();
 		this.suspects.put(endpoint, new Suspect(now, onBlame));
 		if (now - Math.max(this.contactMillis, this.connectedMillis) >= SILENCE_MILLIS) {
-			concludeOr(this::probeAny);
+			declareLostOr(this::probeAny);
 		}
 	}
 
@@ -232,7 +232,7 @@
 		}
 		long remainingMillis = this.contactMillis + SILENCE_MILLIS - this.nowMillis.getAsLong();
 		if (remainingMillis <= 0) {
-			concludeOr(this::checkAny);
+			declareLostOr(this::askAnyForStatus);
 			return;
 		}
 		this.investigationScheduled = true;
@@ -242,7 +242,7 @@
 		}, remainingMillis, TimeUnit.MILLISECONDS);
 	}
 
-	private void concludeOr(Runnable findOut) {
+	private void declareLostOr(Runnable nextProbe) {
 		if (this.lost) {
 			return;
 		}
@@ -254,10 +254,10 @@
 			logger.warn("event=endpoint_link_lost silent_ms={} unreachable={} unanswering={}", now - this.contactMillis,
 					this.unreachable, this.unanswering);
 			this.onLost.run();
-			checkWhileLost();
+			askWhileLost();
 		}
 		else if (!this.probing) {
-			findOut.run();
+			nextProbe.run();
 		}
 	}
 
@@ -292,7 +292,7 @@
 				.stream()
 				.filter((exchange) -> isAwaitedFor(exchange, isLong ? LONG_SILENCE_MILLIS : SILENCE_MILLIS))
 				.findAny()
-				.ifPresent((exchange) -> findOut(exchange, isLong));
+				.ifPresent((exchange) -> probeOrAsk(exchange, isLong));
 		}
 		this.scheduler.schedule(this::check, SILENCE_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -301,7 +301,7 @@
 		return this.nowMillis.getAsLong() - exchange.sinceMillis() >= millis;
 	}
 
-	private void findOut(Awaited exchange, boolean isLong) {
+	private void probeOrAsk(Awaited exchange, boolean isLong) {
 		if (isLong) {
 			askForStatus(exchange.endpoint(), exchange.address());
 		}
@@ -345,7 +345,7 @@
 		chooseAny().ifPresent((entry) -> probe(entry.endpoint(), entry.address()));
 	}
 
-	private void checkAny() {
+	private void askAnyForStatus() {
 		chooseAny().ifPresent((entry) -> askForStatus(entry.endpoint(), entry.address()));
 	}
 
@@ -357,14 +357,14 @@
 			.min(Comparator.comparing(this::hasFailed).thenComparing((EndpointEntry entry) -> !isLocal(entry)));
 	}
 
-	private void checkWhileLost() {
+	private void askWhileLost() {
 		if (!this.lost || this.scheduler.isShutdown()) {
 			return;
 		}
 		if (!this.probing) {
-			checkAny();
+			askAnyForStatus();
 		}
-		this.scheduler.schedule(this::checkWhileLost, PROBE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+		this.scheduler.schedule(this::askWhileLost, PROBE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
