Close all channels when event loops are shut down

What callers saw: an instance was stopped within a process that went on; one that connected in the last milliseconds got neither an answer nor the end of its connection. Callers of a daemon do not see it, as the system resets what is open when its process ends.

Cause: with a quiet period of 0, an event loop that is shut down while a task runs ends without closing its channels: it checks for the shutdown before the tasks to close them, and after the tasks to end.

Why this works: with a quiet period the loop makes a further turn, in which it closes its channels.

Failed before: NodeRuntimeTests and RelayStopTests.aClosedInstanceHasNoOpenPortOrConnection (no end of the accepted connection within 20 s; the port still open after 10 s).

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/NodeRuntime.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/NodeRuntime.java
@@ -33,6 +33,14 @@
 
 	private static final int CONNECTION_THREADS = 2;
 
+	/**
+	 * Without a quiet period, an event loop that is busy when it is shut down ends
+	 * without closing its channels.
+	 */
+	private static final long SHUTDOWN_QUIET_MILLIS = 1;
+
+	private static final long MAX_SHUTDOWN_MILLIS = 1_000;
+
 	/**
 	 * Returns new threads that only the node uses.
 	 * @param settings the settings
@@ -48,7 +56,7 @@
 				new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
 		return new NodeRuntime(tasks, Clock.steady(), (handler) -> network(settings, handler, connections), () -> {
 			tasks.shutdownNow();
-			connections.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+			shutDown(connections);
 		});
 	}
 
@@ -65,6 +73,14 @@
 		});
 	}
 
+	/**
+	 * Closes all channels of event loops and ends their threads; does not wait for it.
+	 * @param group the event loops
+	 */
+	static void shutDown(EventLoopGroup group) {
+		group.shutdownGracefully(SHUTDOWN_QUIET_MILLIS, MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private static PeerTransport network(Settings settings, PeerHandler handler, EventLoopGroup group) {
 		Settings.Connections connections = settings.connections();
 		return new PeerNetwork(settings.instance(), PeerKey.of(settings.peerKey()), handler, group,
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -260,7 +260,7 @@
 		this.tables.stop();
 		logger.info("event=stopped");
 		this.node.close();
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		NodeRuntime.shutDown(this.group);
 	}
 
 	/**
--- a/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStopTests.java
+++ b/poplarloom-entry/src/test/java/org/poplarloom/entry/relay/RelayStopTests.java
@@ -1,6 +1,7 @@
 package org.poplarloom.entry.relay;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 
@@ -19,6 +20,10 @@
  */
 public class RelayStopTests extends RelayFixture {
 
+	private static final int CLOSED_INSTANCES = 5;
+
+	private static final long MAX_TEST_MILLIS = 30_000;
+
 	@Test
 	public void hangupSignalEndsNeitherTheProcessNorRequests() throws IOException {
 		configure("model", "ready");
@@ -72,4 +77,40 @@
 		stop.join();
 	}
 
+	/**
+	 * Guards against an instance that leaves its ports and connections open after its
+	 * end: callers connect and wait for ever.
+	 */
+	@Test(timeOut = MAX_TEST_MILLIS)
+	public void aClosedInstanceHasNoOpenPortOrConnection() throws IOException {
+		for (int i = 0; i < CLOSED_INSTANCES; i++) {
+			try (CallerStandIn idle = new CallerStandIn(this.callerAddress)) {
+				this.daemon.close();
+				await(() -> !isListening(this.callerAddress) && !isListening(this.daemon.metricsAddress()));
+				awaitEnd(idle);
+			}
+			restartDaemon();
+		}
+	}
+
+	// A connection that was not accepted is reset.
+	private static void awaitEnd(CallerStandIn caller) {
+		try {
+			Assert.assertEquals(caller.readAll(), "");
+		}
+		catch (IOException ex) {
+			Assert.assertTrue(ex instanceof SocketException, ex.toString());
+		}
+	}
+
+	private static boolean isListening(String address) {
+		try {
+			new CallerStandIn(address).close();
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 }
