Register the shutdown hook before the ports open

What callers saw: a daemon was told to stop as soon as its port for callers was open. The process ended at once; the connection of the first caller was reset, and its request had no answer.

Cause: the hook that drains was registered after the start of the daemon had returned, some milliseconds after the port was open. A signal in between ends the process, as without a hook there is nothing to wait for.

Why this works: the daemon calls back before it listens, and the hook is registered there; from then on the instance can be stopped. A signal before that ends a process which no caller can reach.

The chat surface does the same and has no test of its own.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/Poplarloom.java
@@ -20,6 +20,7 @@
 import org.poplarloom.entry.process.HangupSignal;
 import org.poplarloom.entry.process.RelayDaemon;
 import org.poplarloom.platform.PlatformSettings;
+import org.poplarloom.port.http.Connector;
 
 /**
  * The main program of the entry instance.
@@ -128,15 +129,17 @@
 	}
 
 	private static void start(Settings settings, PlatformSettings platform, Path platformFile, DeferredTask reload) {
-		Runnable stop;
 		if (platform != null) {
-			RelayDaemon daemon = RelayDaemon.start(platform, settings);
+			RelayDaemon daemon = RelayDaemon.start(platform, settings, Connector.DIRECT,
+					(started) -> stopOnExit(started::stopGracefully));
 			reload.set(() -> daemon.reload(platformFile));
-			stop = daemon::stopGracefully;
 		}
 		else {
-			stop = Daemon.start(settings)::stopGracefully;
+			Daemon.start(settings, (started) -> stopOnExit(started::stopGracefully));
 		}
+	}
+
+	private static void stopOnExit(Runnable stop) {
 		Runtime.getRuntime().addShutdownHook(new Thread(stop, "shutdown"));
 	}
 
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 import io.micronaut.context.ApplicationContext;
 import io.micronaut.http.server.netty.NettyEmbeddedServer;
@@ -75,12 +76,24 @@
 	 * @return the daemon, which is listening for callers
 	 */
 	public static Daemon start(Settings settings) {
+		return start(settings, (daemon) -> {
+		});
+	}
+
+	/**
+	 * Starts a daemon.
+	 * @param settings the settings
+	 * @param beforeListening is called with the daemon before callers can reach it; the
+	 * daemon can be stopped from then on
+	 * @return the daemon, which is listening for callers
+	 */
+	public static Daemon start(Settings settings, Consumer<Daemon> beforeListening) {
 		Daemon daemon = new Daemon(settings);
-		daemon.start();
+		daemon.start(beforeListening);
 		return daemon;
 	}
 
-	private void start() {
+	private void start(Consumer<Daemon> beforeListening) {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
 		this.node.takeOverAfterDiscovery();
@@ -110,6 +123,7 @@
 			.banner(false)
 			.start();
 		this.server = this.context.getBean(NettyEmbeddedServer.class);
+		beforeListening.accept(this);
 		this.server.start();
 		logger.info("instance {} in zone {} serves callers at {}", this.settings.instance(), this.settings.zone(),
 				url());
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -150,10 +151,12 @@
 	 * Starts an instance.
 	 * @param platform the settings that the platform gives
 	 * @param settings the settings of the node that are derived from them
+	 * @param connector opens the connections to endpoints and to the platform
 	 * @return the instance
 	 */
-	public static RelayDaemon start(PlatformSettings platform, Settings settings) {
-		return start(platform, settings, Connector.DIRECT);
+	public static RelayDaemon start(PlatformSettings platform, Settings settings, Connector connector) {
+		return start(platform, settings, connector, (daemon) -> {
+		});
 	}
 
 	/**
@@ -161,15 +164,18 @@
 	 * @param platform the settings that the platform gives
 	 * @param settings the settings of the node that are derived from them
 	 * @param connector opens the connections to endpoints and to the platform
+	 * @param beforeListening is called with the instance before callers can reach it; the
+	 * instance can be stopped from then on
 	 * @return the instance
 	 */
-	public static RelayDaemon start(PlatformSettings platform, Settings settings, Connector connector) {
+	public static RelayDaemon start(PlatformSettings platform, Settings settings, Connector connector,
+			Consumer<RelayDaemon> beforeListening) {
 		RelayDaemon daemon = new RelayDaemon(platform, settings, connector);
-		daemon.start();
+		daemon.start(beforeListening);
 		return daemon;
 	}
 
-	private void start() {
+	private void start(Consumer<RelayDaemon> beforeListening) {
 		Hooks.onErrorDropped((failure) -> logger.debug("failure after the end of a request: {}", failure.toString()));
 		this.node.start();
 		ListedInstance own = new ListedInstance(this.settings.instance().value(), ListedInstance.ENTRY,
@@ -182,6 +188,7 @@
 		this.metrics.registerGauge("tables.is_reader", () -> this.tables.reading().isReading() ? 1L : 0L);
 		this.metrics.registerGauge("tables.age_ms", this.tables.reading()::ageMillis);
 		this.tables.start();
+		beforeListening.accept(this);
 		this.callerServer.listenReadiness(this.platform.readinessAddress(), this::notReadyReason);
 		this.callerAddress = this.callerServer.listenForCallers(this.platform.callerAddress());
 		this.metricsAddress = this.callerServer.listenMetrics(this.settings.host() + ":" + this.settings.httpPort(),
