Announce a stop in one place

The relay and the chat surface wrote the same two steps; Node does both now. The log line of a request whose step fails no longer says that it has not ended, as the loss of the link uses the same loop. No change in behaviour.

--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Daemon.java
@@ -191,8 +191,7 @@
 	// The process ends with its shutdown hook, so a failure must not end the drain.
 	private void announceStop() {
 		try {
-			this.node.membership().startDraining();
-			this.node.gossiper().broadcast();
+			this.node.announceStop();
 		}
 		catch (RuntimeException | Error ex) {
 			logger.error("event=stop_step_failed step=announce", ex);
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/Node.java
@@ -554,6 +554,14 @@
 		return this.network;
 	}
 
+	/**
+	 * Tells the other instances that this one is about to stop.
+	 */
+	void announceStop() {
+		this.membership.startDraining();
+		this.gossiper.broadcast();
+	}
+
 	@Override
 	public void close() {
 		this.configurationFollower.close();
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/process/RelayDaemon.java
@@ -293,8 +293,7 @@
 
 		@Override
 		public void announceStop() {
-			RelayDaemon.this.node.membership().startDraining();
-			RelayDaemon.this.node.gossiper().broadcast();
+			RelayDaemon.this.node.announceStop();
 		}
 
 		@Override
--- a/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
+++ b/poplarloom-entry/src/main/java/org/poplarloom/entry/relay/RelayService.java
@@ -210,7 +210,7 @@
 				action.accept(run);
 			}
 			catch (RuntimeException | Error ex) {
-				logger.error("request={} event=not_ended", run.request().id(), ex);
+				logger.error("request={} event=step_failed", run.request().id(), ex);
 			}
 		}
 	}
